Add the build, the design page, and the core and net foundations

Cause: the repository was empty; parallel work needs fixed module boundaries and interfaces first.

Ruled out: one time limit of 300 ms for all client calls in JsonHttpTest; one call timed out while classes were loaded in a cold JVM. Only the call that tests silence keeps the short limit.

--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/id/PoolId.java
@@ -0,0 +1,24 @@
+package org.quetzalscale.core.id;
+
+/** Name of a pool of workers. */
+public record PoolId(String value) implements Comparable<PoolId> {
+    /**
+     * Checks the form of the name.
+     *
+     * @throws org.quetzalscale.core.error.QuetzalscaleException INVALID_FIELD if the name is not of
+     *     the form that {@link Names} requires
+     */
+    public PoolId {
+        Names.requireName("pool", value);
+    }
+
+    @Override
+    public int compareTo(PoolId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/id/TaskId.java
@@ -0,0 +1,24 @@
+package org.quetzalscale.core.id;
+
+/** Identifier of one attempt to run a job, known to the platform. */
+public record TaskId(String value) implements Comparable<TaskId> {
+    /**
+     * Checks the form of the name.
+     *
+     * @throws org.quetzalscale.core.error.QuetzalscaleException INVALID_FIELD if the name is not of
+     *     the form that {@link Names} requires
+     */
+    public TaskId {
+        Names.requireName("task", value);
+    }
+
+    @Override
+    public int compareTo(TaskId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/id/ZoneId.java
@@ -0,0 +1,24 @@
+package org.quetzalscale.core.id;
+
+/** Name of an availability zone. */
+public record ZoneId(String value) implements Comparable<ZoneId> {
+    /**
+     * Checks the form of the name.
+     *
+     * @throws org.quetzalscale.core.error.QuetzalscaleException INVALID_FIELD if the name is not of
+     *     the form that {@link Names} requires
+     */
+    public ZoneId {
+        Names.requireName("availability zone", value);
+    }
+
+    @Override
+    public int compareTo(ZoneId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.quetzalscale.core.id;
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Upper limits of teams, dealt to instances in blocks. */
+package org.quetzalscale.core.limit;
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of quetzalscale without I/O; time and randomness are passed in. */
+package org.quetzalscale.core;
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/resource/DeploymentSpec.java
@@ -0,0 +1,25 @@
+package org.quetzalscale.core.resource;
+
+/**
+ * What a deployment weighs when it decides about capacity; only the ratios matter.
+ *
+ * @param bufferCost weight of capacity held ready without use
+ * @param rollOutTime weight of the time that maintenance takes
+ * @param moves weight of moves of workers between pools
+ * @param share weight of the teams' distance from their shares
+ */
+public record DeploymentSpec(double bufferCost, double rollOutTime, double moves, double share)
+        implements Spec {
+    /** Checks the ranges; throws INVALID_FIELD. */
+    public DeploymentSpec {
+        Fields.requireNotNegative("spec.bufferCost", bufferCost);
+        Fields.requireNotNegative("spec.rollOutTime", rollOutTime);
+        Fields.requireNotNegative("spec.moves", moves);
+        Fields.requireNotNegative("spec.share", share);
+    }
+
+    @Override
+    public Kind kind() {
+        return Kind.DEPLOYMENTS;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/resource/WorkerPhase.java
@@ -0,0 +1,15 @@
+package org.quetzalscale.core.resource;
+
+/** Where a worker stands between service and maintenance. */
+public enum WorkerPhase {
+    /** Takes work of its pool. */
+    ACTIVE,
+    /** Takes no new work and finishes what it has. */
+    DRAINING,
+    /** Runs nothing. */
+    DRAINED,
+    /** Is rebooted or replaced by the platform. */
+    REBOOTING,
+    /** Failed; counts as not available. */
+    FAILED
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
@@ -0,0 +1,72 @@
+package org.quetzalscale.core.table;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** A table in memory: the embedded default of a single daemon and the state of the stand-in. */
+public final class InMemoryTable implements TransactionalTable {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final NavigableMap<RowKey, Row> rows = new TreeMap<>();
+    private long version;
+
+    @Override
+    public CompletionStage<Optional<Row>> read(RowKey key) {
+        lock.lock();
+        try {
+            return CompletableFuture.completedFuture(Optional.ofNullable(rows.get(key)));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public CompletionStage<List<Row>> scan(String prefix) {
+        lock.lock();
+        try {
+            List<Row> found = new ArrayList<>();
+            for (Row row : rows.tailMap(new RowKey(prefix), true).values()) {
+                if (!row.key().value().startsWith(prefix)) {
+                    break;
+                }
+                found.add(row);
+            }
+            return CompletableFuture.completedFuture(found);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public CompletionStage<CommitResult> commit(Transaction transaction) {
+        lock.lock();
+        try {
+            for (Condition condition : transaction.conditions()) {
+                Row row = rows.get(condition.key());
+                long present = row == null ? Condition.ABSENT : row.version();
+                if (present != condition.version()) {
+                    return CompletableFuture.completedFuture(
+                            CommitResult.conflict(condition.key()));
+                }
+            }
+            version++;
+            transaction.mutations().forEach(this::apply);
+            return CompletableFuture.completedFuture(CommitResult.committed(version));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void apply(Mutation mutation) {
+        if (mutation.value().isEmpty()) {
+            rows.remove(mutation.key());
+            return;
+        }
+        rows.put(mutation.key(), new Row(mutation.key(), version, mutation.value().get()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The source of time. */
+package org.quetzalscale.core.time;
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/frame/package-info.java
@@ -0,0 +1,2 @@
+/** Length-prefixed frames that carry MessagePack arrays. */
+package org.quetzalscale.net.frame;
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
@@ -0,0 +1,164 @@
+package org.quetzalscale.net.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+
+/** Serves the calls of one connection one after the other. */
+final class HttpServerConnection extends ChannelDuplexHandler {
+    private final HttpHandler handler;
+    private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+    private boolean busy;
+
+    HttpServerConnection(HttpHandler handler) {
+        this.handler = handler;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.read();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        waiting.add((FullHttpRequest) message);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        serveNext(context);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void serveNext(ChannelHandlerContext context) {
+        if (busy) {
+            return;
+        }
+        FullHttpRequest request = waiting.poll();
+        if (request == null) {
+            context.read();
+            return;
+        }
+        busy = true;
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        CompletionStage<HttpReply> reply;
+        try {
+            reply = answer(request);
+        } finally {
+            request.release();
+        }
+        reply.whenComplete(
+                (value, failure) ->
+                        context.executor()
+                                .execute(
+                                        () -> {
+                                            HttpReply sent =
+                                                    failure == null ? value : errorReply(failure);
+                                            write(context, sent, keepAlive);
+                                        }));
+    }
+
+    private CompletionStage<HttpReply> answer(FullHttpRequest request) {
+        try {
+            if (request.decoderResult().isFailure()) {
+                throw new QuetzalscaleException(
+                        ErrorKind.MALFORMED_REQUEST,
+                        "request can not be decoded: " + request.decoderResult().cause());
+            }
+            return handler.handle(toCall(request));
+        } catch (RuntimeException e) {
+            return java.util.concurrent.CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private static HttpReply errorReply(Throwable failure) {
+        return HttpReply.error(QuetzalscaleException.from(failure), "");
+    }
+
+    private static HttpCall toCall(FullHttpRequest request) {
+        QueryStringDecoder decoder = new QueryStringDecoder(request.uri());
+        Map<String, String> headers = new HashMap<>();
+        request.headers()
+                .forEach(
+                        h ->
+                                headers.putIfAbsent(
+                                        h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+        return new HttpCall(
+                request.method(),
+                decoder.path(),
+                decoder.parameters(),
+                headers,
+                ByteBufUtil.getBytes(request.content()));
+    }
+
+    private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+        if (reply.stream() != null) {
+            startStream(context, reply);
+            return;
+        }
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reply.status()),
+                        Unpooled.wrappedBuffer(reply.body()));
+        setHeaders(response, reply);
+        HttpUtil.setContentLength(response, reply.body().length);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        var written = context.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        busy = false;
+        serveNext(context);
+    }
+
+    private void startStream(ChannelHandlerContext context, HttpReply reply) {
+        HttpResponse head =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()));
+        setHeaders(head, reply);
+        HttpUtil.setTransferEncodingChunked(head, true);
+        // A watcher sends nothing more, so the read time limit does not apply to it.
+        context.pipeline().remove(io.netty.handler.timeout.ReadTimeoutHandler.class);
+        context.writeAndFlush(head);
+        context.read();
+        reply.stream().accept(new ChannelLineSink(context.channel()));
+    }
+
+    private static void setHeaders(HttpResponse response, HttpReply reply) {
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+        reply.headers().forEach((name, value) -> response.headers().set(name, value));
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
@@ -0,0 +1,170 @@
+package org.quetzalscale.net.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.net.InetSocketAddress;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.Consumer;
+
+/**
+ * An HTTP client for small messages to one address, with connections that are kept and reused.
+ *
+ * <p>Each call has a time limit; when it passes, the connection is closed, so that a connection
+ * that went silent is not used again.
+ */
+public final class JsonHttpClient {
+    private static final int MAX_REPLY_BYTES = 64 << 20;
+
+    private final InetSocketAddress address;
+    private final EventLoopGroup group;
+    private final int timeoutMillis;
+    private final Deque<Channel> idle = new ConcurrentLinkedDeque<>();
+
+    /**
+     * Creates a client; connections are opened as calls need them.
+     *
+     * @param group event loops, owned by the caller
+     * @param timeoutMillis time limit for connecting, and for each call
+     */
+    public JsonHttpClient(InetSocketAddress address, EventLoopGroup group, int timeoutMillis) {
+        this.address = address;
+        this.group = group;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Sends a call. The stage fails with {@link HttpCallException}, which tells whether a byte of
+     * the call may have reached the server.
+     */
+    public CompletionStage<HttpReply> send(HttpCall call) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        Channel reused = pollIdle();
+        if (reused != null) {
+            transmit(reused, call, reply);
+            return reply;
+        }
+        connect(false)
+                .addListener(
+                        connected -> {
+                            if (!connected.isSuccess()) {
+                                reply.completeExceptionally(
+                                        HttpCallException.notSent(connected.cause()));
+                                return;
+                            }
+                            transmit(
+                                    ((io.netty.channel.ChannelFuture) connected).channel(),
+                                    call,
+                                    reply);
+                        });
+        return reply;
+    }
+
+    /**
+     * Opens a stream of lines on a connection of its own.
+     *
+     * @param idleMillis the stream fails when no line arrived for this long
+     * @param onLine called for each line, on the event loop
+     * @return a handle whose stage ends when the stream does; its failure is an {@link
+     *     HttpCallException} if the server answered with an error or the connection broke
+     */
+    public LineStream stream(HttpCall call, int idleMillis, Consumer<String> onLine) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        LineStream stream = new LineStream(ended);
+        connect(true)
+                .addListener(
+                        connected -> {
+                            if (!connected.isSuccess()) {
+                                ended.completeExceptionally(
+                                        HttpCallException.notSent(connected.cause()));
+                                return;
+                            }
+                            Channel channel =
+                                    ((io.netty.channel.ChannelFuture) connected).channel();
+                            stream.attach(channel);
+                            LineReceiver.install(channel, idleMillis, onLine, ended);
+                            channel.writeAndFlush(encode(call));
+                        });
+        return stream;
+    }
+
+    /** Closes the connections that are kept. */
+    public void stop() {
+        for (Channel channel = idle.poll(); channel != null; channel = idle.poll()) {
+            channel.close();
+        }
+    }
+
+    private Channel pollIdle() {
+        for (Channel channel = idle.poll(); channel != null; channel = idle.poll()) {
+            if (channel.isActive()) {
+                return channel;
+            }
+        }
+        return null;
+    }
+
+    private io.netty.channel.ChannelFuture connect(boolean streaming) {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline().addLast(new HttpClientCodec());
+                                if (!streaming) {
+                                    channel.pipeline()
+                                            .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES))
+                                            .addLast(new ReplyReceiver(idle::push));
+                                }
+                            }
+                        })
+                .connect(address);
+    }
+
+    private void transmit(Channel channel, HttpCall call, CompletableFuture<HttpReply> reply) {
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            channel.pipeline()
+                                    .get(ReplyReceiver.class)
+                                    .expect(channel, reply, timeoutMillis);
+                            channel.writeAndFlush(encode(call));
+                        });
+    }
+
+    private FullHttpRequest encode(HttpCall call) {
+        QueryStringEncoder uri = new QueryStringEncoder(call.path());
+        call.query().forEach((name, values) -> values.forEach(v -> uri.addParam(name, v)));
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        call.method(),
+                        uri.toString(),
+                        Unpooled.wrappedBuffer(call.body()));
+        call.headers().forEach((name, value) -> request.headers().set(name, value));
+        request.headers()
+                .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        HttpUtil.setContentLength(request, call.body().length);
+        return request;
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -0,0 +1,87 @@
+package org.quetzalscale.net.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/** An HTTP server for small messages, for operators, metrics and the platform stand-in. */
+public final class JsonHttpServer {
+    private static final int READ_TIMEOUT_SECONDS = 120;
+
+    private final InetSocketAddress bindAddress;
+    private final EventLoopGroup group;
+    private final int maxBodyBytes;
+    private final HttpHandler handler;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private Channel listener;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param group event loops, owned by the caller
+     * @param maxBodyBytes largest request body; a larger one is answered with status 413
+     */
+    public JsonHttpServer(
+            InetSocketAddress bindAddress,
+            EventLoopGroup group,
+            int maxBodyBytes,
+            HttpHandler handler) {
+        this.bindAddress = bindAddress;
+        this.group = group;
+        this.maxBodyBytes = maxBodyBytes;
+        this.handler = handler;
+    }
+
+    /** Listens. */
+    public void start() {
+        listener =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        initialize(channel);
+                                    }
+                                })
+                        .bind(bindAddress)
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        listener.close().syncUninterruptibly();
+        connections.close().awaitUninterruptibly();
+    }
+
+    private void initialize(SocketChannel channel) {
+        connections.add(channel);
+        channel.pipeline()
+                .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(maxBodyBytes))
+                .addLast(new HttpServerConnection(handler));
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/json/package-info.java
@@ -0,0 +1,2 @@
+/** Conversion between records and JSON text. */
+package org.quetzalscale.net.json;
--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/package-info.java
@@ -0,0 +1,2 @@
+/** Thin network layer over Netty: JSON over HTTP, and length-prefixed MessagePack frames. */
+package org.quetzalscale.net;
