--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/lease/Lease.java
@@ -0,0 +1,11 @@
+package org.quetzalscale.core.lease;
+
+import org.quetzalscale.core.table.Condition;
+
+/**
+ * A lease that this instance holds.
+ *
+ * @param fence a condition that every write made under the lease carries; it fails once another
+ *     instance took the lease, however late the write arrives
+ */
+public record Lease(Condition fence) {}
