Add the platform adapter, its stand-in and a target stand-in in thin form

Cause: the daemon had no platform to talk to, and tests had no targets.

Change: the standin module serves table, objects, machines and tasks as JSON over HTTP, with faults for each part set by PUT /v1/faults/<part>; a target stand-in runs requests in slots and logs them. The daemon's Platform groups the four ports over that protocol, or in memory for a single process. The protocol's messages are in net, since standin and daemon may not depend on each other. The simulated tasks are in core, like the table in memory, since both the embedded platform and the stand-in use them. JsonHttpClient counts connecting into its time limit, so that a call takes 1 s at most, not 2 s.

Ruled out: a name that the list showed GONE may not register again, because users of the list free what the machine held; a restart within 5 s keeps the name. A lost answer is not a closed connection but silence, which costs the caller its whole time limit, as in the failure model.

Conclusion: others can build on the ports.

--- a/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
+++ b/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
@@ -62,6 +62,16 @@
         }
     }
 
+    /** The version of the latest commit; 0 before the first one. */
+    public long version() {
+        lock.lock();
+        try {
+            return version;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void apply(Mutation mutation) {
         if (mutation.value().isEmpty()) {
             rows.remove(mutation.key());
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/platform/Platform.java
@@ -0,0 +1,124 @@
+package org.quetzalscale.daemon.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.fleet.InMemoryTaskRunner;
+import org.quetzalscale.core.fleet.InstanceDirectory;
+import org.quetzalscale.core.fleet.Member;
+import org.quetzalscale.core.fleet.TaskRunner;
+import org.quetzalscale.core.object.InMemoryObjectStore;
+import org.quetzalscale.core.object.ObjectStore;
+import org.quetzalscale.core.table.InMemoryTable;
+import org.quetzalscale.core.table.TransactionalTable;
+import org.quetzalscale.core.time.TimeSource;
+
+/** The four ports to the platform, with the registration of this instance. */
+public final class Platform {
+    private final TransactionalTable table;
+    private final ObjectStore objects;
+    private final InstanceDirectory directory;
+    private final TaskRunner tasks;
+    private final Registration registration;
+    private final Runnable close;
+
+    private Platform(
+            TransactionalTable table,
+            ObjectStore objects,
+            InstanceDirectory directory,
+            TaskRunner tasks,
+            Registration registration,
+            Runnable close) {
+        this.table = table;
+        this.objects = objects;
+        this.directory = directory;
+        this.tasks = tasks;
+        this.registration = registration;
+        this.close = close;
+    }
+
+    /**
+     * The platform at an address. Nothing is sent before {@link #start} or a call to a port.
+     *
+     * @param group event loops, owned by the caller
+     * @param self this instance as it is to appear on the list
+     */
+    public static Platform connect(InetSocketAddress address, EventLoopGroup group, Member self) {
+        PlatformClient client = new PlatformClient(address, group, self.name());
+        HttpDirectory directory = new HttpDirectory(client);
+        return new Platform(
+                new HttpTable(client),
+                new HttpObjectStore(client),
+                directory,
+                new HttpTaskRunner(client),
+                new Registration(
+                        group, () -> directory.register(self), () -> directory.leave(self)),
+                client::stop);
+    }
+
+    /**
+     * A platform in the memory of this process, for a single instance. Its state ends with the
+     * process, and its tasks are only simulated.
+     *
+     * @param group event loops, owned by the caller
+     * @param self this instance as it is to appear on the list
+     */
+    public static Platform embedded(EventLoopGroup group, Member self, TimeSource time) {
+        EmbeddedDirectory directory = new EmbeddedDirectory(self);
+        return new Platform(
+                new InMemoryTable(),
+                new InMemoryObjectStore(),
+                directory,
+                new InMemoryTaskRunner(time, 0),
+                new Registration(group, directory::register, directory::leave),
+                () -> {});
+    }
+
+    /** The transactional table. */
+    public TransactionalTable table() {
+        return table;
+    }
+
+    /** The object store. */
+    public ObjectStore objects() {
+        return objects;
+    }
+
+    /** The list of machines. */
+    public InstanceDirectory directory() {
+        return directory;
+    }
+
+    /** The tasks on workers. */
+    public TaskRunner tasks() {
+        return tasks;
+    }
+
+    /**
+     * Registers this instance, and keeps trying while the platform can't be reached.
+     *
+     * @return completes when the instance is registered; fails with INVALID_STATE if the platform
+     *     refuses the name, and with SHUTTING_DOWN if the platform is stopped first
+     */
+    public CompletionStage<Void> start() {
+        return registration.start();
+    }
+
+    /**
+     * Reports this instance as LEAVING; the ports keep working. One attempt is made.
+     *
+     * @return completes when the platform knows; fails as a write does
+     */
+    public CompletionStage<Void> leave() {
+        return registration.leave();
+    }
+
+    /**
+     * Reports this instance as LEAVING if that was not done, and closes the connections.
+     *
+     * @return completes when the connections are closed; never fails
+     */
+    public CompletionStage<Void> stop() {
+        return registration.stop().whenComplete((ignored, failure) -> close.run());
+    }
+}
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
@@ -41,7 +41,7 @@
      * Creates a client; connections are opened as calls need them.
      *
      * @param group event loops, owned by the caller
-     * @param timeoutMillis time limit for connecting, and for each call
+     * @param timeoutMillis time limit for each call
      */
     public JsonHttpClient(InetSocketAddress address, EventLoopGroup group, int timeoutMillis) {
         this.address = address;
@@ -51,15 +51,17 @@
 
     /**
      * Sends a call. The stage fails with {@link HttpCallException}, which tells whether a byte of
-     * the call may have reached the server.
+     * the call may have reached the server. The time limit covers connecting and the answer
+     * together.
      */
     public CompletionStage<HttpReply> send(HttpCall call) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         Channel reused = pollIdle();
         if (reused != null) {
-            transmit(reused, call, reply);
+            transmit(reused, call, reply, timeoutMillis);
             return reply;
         }
+        long startNanos = System.nanoTime();
         connect(false)
                 .addListener(
                         connected -> {
@@ -71,7 +73,8 @@
                             transmit(
                                     ((io.netty.channel.ChannelFuture) connected).channel(),
                                     call,
-                                    reply);
+                                    reply,
+                                    remainingMillis(startNanos));
                         });
         return reply;
     }
@@ -141,13 +144,19 @@
                 .connect(address);
     }
 
-    private void transmit(Channel channel, HttpCall call, CompletableFuture<HttpReply> reply) {
+    private int remainingMillis(long startNanos) {
+        long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000L;
+        return (int) Math.max(1, timeoutMillis - elapsedMillis);
+    }
+
+    private void transmit(
+            Channel channel, HttpCall call, CompletableFuture<HttpReply> reply, int limitMillis) {
         channel.eventLoop()
                 .execute(
                         () -> {
                             channel.pipeline()
                                     .get(ReplyReceiver.class)
-                                    .expect(channel, reply, timeoutMillis);
+                                    .expect(channel, reply, limitMillis);
                             channel.writeAndFlush(encode(call));
                         });
     }
--- a/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
+++ b/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
@@ -1,11 +1,33 @@
 package org.quetzalscale.standin;
 
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.quetzalscale.standin.load.LoadCommand;
+import org.quetzalscale.standin.platform.PlatformCommand;
+import org.quetzalscale.standin.target.TargetCommand;
+
 /** Entry point of the stand-ins and tools. */
+@Cli(
+        name = "standin",
+        description = "Stand-ins for the platform and for targets, and a load tool",
+        defaultCommand = Help.class,
+        commands = {PlatformCommand.class, TargetCommand.class, LoadCommand.class, Help.class})
 public final class StandinMain {
+    private static final int USAGE_EXIT_CODE = 2;
+
     private StandinMain() {}
 
-    /** Runs the program. */
+    /** Runs the program; exits with 2 if the arguments are wrong. */
     public static void main(String[] args) {
-        System.exit(0);
+        Runnable command;
+        try {
+            command = new com.github.rvesse.airline.Cli<Runnable>(StandinMain.class).parse(args);
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_EXIT_CODE);
+            return;
+        }
+        command.run();
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/quetzalscale/standin/load/package-info.java
@@ -0,0 +1,2 @@
+/** A load tool with open-loop arrivals. */
+package org.quetzalscale.standin.load;
