Add the JSON form of specs with units and defaults

Cause: the operator server, quetzalctl and the examples need one mapping between JSON and the specs of core; two mappings would disagree about defaults.

Change: SpecJson in net reads and writes specs, SpecField describes each field. Absent fields get their defaults, unknown fields are refused, and an error names field and value.

Ruled out: Jackson annotations in core, which has no library; defaults in the records, which must stay free of JSON.

Conclusion: daemon and ctl can share the mapping.

--- /dev/null
+++ b/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
@@ -0,0 +1,175 @@
+package org.quetzalscale.net.json;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.RackId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.id.ZoneId;
+import org.quetzalscale.core.resource.AssignmentSpec;
+import org.quetzalscale.core.resource.DeploymentSpec;
+import org.quetzalscale.core.resource.KeySpec;
+import org.quetzalscale.core.resource.Kind;
+import org.quetzalscale.core.resource.PoolSpec;
+import org.quetzalscale.core.resource.QueueSpec;
+import org.quetzalscale.core.resource.Spec;
+import org.quetzalscale.core.resource.TeamSpec;
+import org.quetzalscale.core.resource.WaveSpec;
+import org.quetzalscale.core.resource.WorkerSpec;
+
+/** Converts specs of resources to and from JSON, with the defaults of absent fields. */
+public final class SpecJson {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                    .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+                    .addMixIn(PoolId.class, NameMixIn.class)
+                    .addMixIn(TeamId.class, NameMixIn.class)
+                    .addMixIn(ZoneId.class, NameMixIn.class)
+                    .addMixIn(RackId.class, NameMixIn.class)
+                    .build();
+
+    private SpecJson() {}
+
+    /** The fields of a kind's spec, in the order of the record's components. */
+    public static List<SpecField> fields(Kind kind) {
+        return SpecFields.of(kind);
+    }
+
+    /** The spec as JSON with every field. */
+    public static ObjectNode write(Spec spec) {
+        ObjectNode tree = MAPPER.valueToTree(spec);
+        if (spec instanceof QueueSpec queue) {
+            // A set has no order of its own; a fixed one keeps equal specs equal as text.
+            tree.set(
+                    "idempotentMethods",
+                    MAPPER.valueToTree(new TreeSet<>(queue.idempotentMethods())));
+        }
+        return tree;
+    }
+
+    /**
+     * Reads a spec; absent fields get their defaults.
+     *
+     * @throws QuetzalscaleException INVALID_FIELD, with field and value, if a field is unknown,
+     *     missing, of another type or out of its range
+     */
+    public static Spec read(Kind kind, JsonNode spec) {
+        if (spec == null || !spec.isObject()) {
+            throw invalid("spec", "spec is required, as an object of fields");
+        }
+        ObjectNode complete = spec.deepCopy();
+        requireKnown(kind, complete);
+        for (SpecField field : fields(kind)) {
+            if (complete.hasNonNull(field.name())) {
+                continue;
+            }
+            String path = "spec." + field.name();
+            complete.set(
+                    field.name(),
+                    field.defaultValue()
+                            .orElseThrow(
+                                    () ->
+                                            invalid(
+                                                    path,
+                                                    path
+                                                            + " is required: expected "
+                                                            + field.unit())));
+        }
+        try {
+            return MAPPER.treeToValue(complete, type(kind));
+        } catch (JsonMappingException e) {
+            throw fieldError(kind, complete, e);
+        } catch (JsonProcessingException e) {
+            throw invalid("spec", "spec can not be read: " + e.getOriginalMessage());
+        }
+    }
+
+    private static void requireKnown(Kind kind, ObjectNode spec) {
+        List<String> known = fields(kind).stream().map(SpecField::name).toList();
+        for (Iterator<Map.Entry<String, JsonNode>> given = spec.fields(); given.hasNext(); ) {
+            Map.Entry<String, JsonNode> entry = given.next();
+            if (!known.contains(entry.getKey())) {
+                String path = "spec." + entry.getKey();
+                throw invalid(
+                        path,
+                        path
+                                + " has the value "
+                                + entry.getValue()
+                                + ", but "
+                                + kind.path()
+                                + " have no such field; their fields are "
+                                + String.join(", ", known));
+            }
+        }
+    }
+
+    private static QuetzalscaleException fieldError(
+            Kind kind, ObjectNode spec, JsonMappingException e) {
+        List<String> path =
+                e.getPath().stream()
+                        .map(JsonMappingException.Reference::getFieldName)
+                        .filter(name -> name != null)
+                        .collect(Collectors.toList());
+        if (e.getCause() instanceof QuetzalscaleException cause) {
+            if (path.isEmpty()) {
+                return cause;
+            }
+            return invalid(
+                    "spec." + path.get(0), "spec." + path.get(0) + ": " + cause.getMessage());
+        }
+        String name = path.isEmpty() ? "" : path.get(0);
+        String expected =
+                fields(kind).stream()
+                        .filter(field -> field.name().equals(name))
+                        .map(SpecField::unit)
+                        .findFirst()
+                        .orElse(kind.path());
+        String field = name.isEmpty() ? "spec" : "spec." + name;
+        return invalid(
+                field, field + " has the value " + spec.get(name) + ": expected " + expected);
+    }
+
+    private static Class<? extends Spec> type(Kind kind) {
+        return switch (kind) {
+            case TEAMS -> TeamSpec.class;
+            case KEYS -> KeySpec.class;
+            case POOLS -> PoolSpec.class;
+            case WORKERS -> WorkerSpec.class;
+            case QUEUES -> QueueSpec.class;
+            case WAVES -> WaveSpec.class;
+            case DEPLOYMENTS -> DeploymentSpec.class;
+            case ASSIGNMENTS -> AssignmentSpec.class;
+        };
+    }
+
+    private static QuetzalscaleException invalid(String field, String message) {
+        return new QuetzalscaleException(ErrorKind.INVALID_FIELD, field, message);
+    }
+
+    /** Reads and writes a name as a plain string. */
+    private abstract static class NameMixIn {
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        NameMixIn(String value) {}
+
+        @JsonValue
+        abstract String value();
+    }
+}
--- /dev/null
+++ b/net/src/test/java/org/quetzalscale/net/json/SpecJsonTest.java
@@ -0,0 +1,112 @@
+package org.quetzalscale.net.json;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.lang.reflect.RecordComponent;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.resource.Kind;
+import org.quetzalscale.core.resource.QueueSpec;
+import org.quetzalscale.core.resource.Spec;
+import org.quetzalscale.core.resource.WaveSpec;
+
+class SpecJsonTest {
+    private static final String WORKER =
+            "{'pool':'p','address':'127.0.0.1:80','zone':'z','rack':'r','cores':2,'memoryMib':4}";
+
+    private static JsonNode json(String text) {
+        return Json.readTree(text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String minimal(Kind kind) {
+        return switch (kind) {
+            case TEAMS -> "{'upperLimit':5}";
+            case KEYS -> "{'team':'t','secretHash':'" + "a".repeat(64) + "'}";
+            case POOLS -> "{'minAvailable':1}";
+            case WORKERS -> WORKER;
+            case QUEUES -> "{'pool':'p'}";
+            case WAVES -> "{'action':'reboot'}";
+            case DEPLOYMENTS -> "{}";
+            case ASSIGNMENTS -> "{'pool':'p','phase':'ACTIVE'}";
+        };
+    }
+
+    @Nested
+    class Reading {
+        @ParameterizedTest
+        @EnumSource(Kind.class)
+        void fillsInDefaultsAndReadsBackWhatItWrote(Kind kind) {
+            Spec spec = SpecJson.read(kind, json(minimal(kind)));
+            assertThat(spec.kind()).isEqualTo(kind);
+            assertThat(SpecJson.read(kind, SpecJson.write(spec))).isEqualTo(spec);
+        }
+
+        @Test
+        void takesIdsAsPlainStrings() {
+            Spec spec = SpecJson.read(Kind.WAVES, json("{'action':'REBOOT','pools':['a','b']}"));
+            assertThat(((WaveSpec) spec).pools()).containsExactly(new PoolId("a"), new PoolId("b"));
+        }
+
+        @ParameterizedTest
+        @CsvSource(
+                quoteCharacter = '`',
+                delimiter = '|',
+                value = {
+                    "TEAMS|{'upperLimit':-1}|spec.upperLimit|-1",
+                    "TEAMS|{'upperLimit':'ten'}|spec.upperLimit|ten",
+                    "TEAMS|{'upperLimit':1.5}|spec.upperLimit|1.5",
+                    "TEAMS|{'share':2}|spec.upperLimit|required",
+                    "TEAMS|{'upperLimit':1,'shares':2}|spec.shares|no such field",
+                    "POOLS|{'minAvailable':1,'spare':'yes'}|spec.spare|yes",
+                    "QUEUES|{'pool':'Not A Name'}|spec.pool|Not A Name",
+                    "WAVES|{'action':'melt'}|spec.action|melt",
+                    "WAVES|{'action':'reboot','pools':['UP']}|spec.pools|UP",
+                    "KEYS|{'team':'t','secretHash':'x'}|spec.secretHash|not shown",
+                    "DEPLOYMENTS|[]|spec|object"
+                })
+        void namesFieldAndValueOfAnError(Kind kind, String spec, String field, String value) {
+            assertThatThrownBy(() -> SpecJson.read(kind, json(spec)))
+                    .isInstanceOfSatisfying(
+                            QuetzalscaleException.class, e -> assertThat(e.field()).contains(field))
+                    .hasMessageContaining(value);
+        }
+    }
+
+    @Nested
+    class Fields {
+        /** Guards against a field that is added to a record but has no unit or default. */
+        @ParameterizedTest
+        @EnumSource(Kind.class)
+        void listEveryComponentOfTheRecordInOrder(Kind kind) {
+            Class<?> type = SpecJson.read(kind, json(minimal(kind))).getClass();
+            List<String> components =
+                    Arrays.stream(type.getRecordComponents())
+                            .map(RecordComponent::getName)
+                            .toList();
+            assertThat(SpecJson.fields(kind)).extracting(SpecField::name).isEqualTo(components);
+        }
+    }
+
+    @Nested
+    class Writing {
+        /** A set's order differs between processes, so equal queues would show as changed. */
+        @Test
+        void sortsMethods() {
+            QueueSpec queue =
+                    new QueueSpec(new PoolId("p"), true, 10, 1, Set.of("PUT", "GET", "DELETE"));
+            assertThat(SpecJson.write(queue).get("idempotentMethods").toString())
+                    .isEqualTo("[\"DELETE\",\"GET\",\"PUT\"]");
+        }
+    }
+}
