Require share, timeoutMs and weights in the JSON form of specs

Change: SpecJson reads and writes weights as a nested object and has no default for these fields.

Conclusion: both sides of the operator interface agree on the form.

--- a/net/src/main/java/org/quetzalscale/net/json/SpecFields.java
+++ b/net/src/main/java/org/quetzalscale/net/json/SpecFields.java
@@ -14,10 +14,8 @@
 final class SpecFields {
     private static final String BOOLEAN = "true or false";
     private static final String WEIGHT = "weight, at least 0";
-    private static final double DEFAULT_WEIGHT = 1.0;
     private static final int DEFAULT_SLOTS = 8;
     private static final int DEFAULT_CONNECTIONS = 64;
-    private static final int DEFAULT_TIMEOUT_MILLIS = 10_000;
     private static final int DEFAULT_MAX_QUEUED = 1_000;
     private static final int DEFAULT_MAX_PARALLEL = 1;
     private static final double DEFAULT_FAILURE_THRESHOLD = 0.1;
@@ -35,7 +33,7 @@
         fields.put(
                 Kind.TEAMS,
                 List.of(
-                        optional("share", "weight, above 0", DEFAULT_WEIGHT),
+                        required("share", "weight, above 0"),
                         required("upperLimit", "units, 0 to 1,000,000")));
         fields.put(
                 Kind.KEYS,
@@ -54,7 +52,7 @@
                 List.of(
                         required("pool", "name of a pool"),
                         optional("open", BOOLEAN, false),
-                        optional("timeoutMs", "ms, 1 to 60,000", DEFAULT_TIMEOUT_MILLIS),
+                        required("timeoutMs", "ms, 1 to 60,000"),
                         optional("maxQueued", "requests, 0 to 100,000", DEFAULT_MAX_QUEUED),
                         optional(
                                 "idempotentMethods",
@@ -75,10 +73,10 @@
         fields.put(
                 Kind.DEPLOYMENTS,
                 List.of(
-                        optional("bufferCost", WEIGHT, DEFAULT_WEIGHT),
-                        optional("rollOutTime", WEIGHT, DEFAULT_WEIGHT),
-                        optional("moves", WEIGHT, DEFAULT_WEIGHT),
-                        optional("share", WEIGHT, DEFAULT_WEIGHT)));
+                        required("bufferCost", WEIGHT),
+                        required("rollOutTime", WEIGHT),
+                        required("moves", WEIGHT),
+                        required("share", WEIGHT)));
         fields.put(
                 Kind.ASSIGNMENTS,
                 List.of(
--- a/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
+++ b/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
@@ -13,8 +13,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.PoolId;
@@ -34,6 +34,8 @@
 
 /** Converts specs of resources to and from JSON, with the defaults of absent fields. */
 public final class SpecJson {
+    private static final String SPEC = "spec";
+    private static final String WEIGHTS = "weights";
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
                     .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
@@ -48,21 +50,29 @@
 
     private SpecJson() {}
 
-    /** The fields of a kind's spec, in the order of the record's components. */
+    /** The fields of a kind, in the order of the record's components. */
     public static List<SpecField> fields(Kind kind) {
         return SpecFields.of(kind);
     }
 
+    /** The path of the object that holds a kind's fields. */
+    public static String path(Kind kind) {
+        return kind == Kind.DEPLOYMENTS ? SPEC + "." + WEIGHTS : SPEC;
+    }
+
     /** The spec as JSON with every field. */
     public static ObjectNode write(Spec spec) {
-        ObjectNode tree = MAPPER.valueToTree(spec);
+        ObjectNode fields = MAPPER.valueToTree(spec);
         if (spec instanceof QueueSpec queue) {
             // A set has no order of its own; a fixed one keeps equal specs equal as text.
-            tree.set(
+            fields.set(
                     "idempotentMethods",
                     MAPPER.valueToTree(new TreeSet<>(queue.idempotentMethods())));
         }
-        return tree;
+        if (spec instanceof DeploymentSpec) {
+            return MAPPER.createObjectNode().set(WEIGHTS, fields);
+        }
+        return fields;
     }
 
     /**
@@ -72,45 +82,48 @@
      *     missing, of another type or out of its range
      */
     public static Spec read(Kind kind, JsonNode spec) {
-        if (spec == null || !spec.isObject()) {
-            throw invalid("spec", "spec is required, as an object of fields");
+        ObjectNode complete = object(SPEC, spec);
+        if (kind == Kind.DEPLOYMENTS) {
+            requireKnown(kind, SPEC, complete, List.of(WEIGHTS));
+            complete = object(path(kind), complete.get(WEIGHTS));
         }
-        ObjectNode complete = spec.deepCopy();
-        requireKnown(kind, complete);
+        requireKnown(
+                kind, path(kind), complete, fields(kind).stream().map(SpecField::name).toList());
         for (SpecField field : fields(kind)) {
-            if (complete.hasNonNull(field.name())) {
-                continue;
+            if (!complete.hasNonNull(field.name())) {
+                complete.set(field.name(), defaultValue(kind, field));
             }
-            String path = "spec." + field.name();
-            complete.set(
-                    field.name(),
-                    field.defaultValue()
-                            .orElseThrow(
-                                    () ->
-                                            invalid(
-                                                    path,
-                                                    path
-                                                            + " is required: expected "
-                                                            + field.unit())));
         }
         try {
             return MAPPER.treeToValue(complete, type(kind));
         } catch (JsonMappingException e) {
             throw fieldError(kind, complete, e);
         } catch (JsonProcessingException e) {
-            throw invalid("spec", "spec can not be read: " + e.getOriginalMessage());
+            throw invalid(SPEC, "spec can not be read: " + e.getOriginalMessage());
+        }
+    }
+
+    private static ObjectNode object(String path, JsonNode node) {
+        if (node == null || !node.isObject()) {
+            throw invalid(path, path + " is required, as an object of fields");
         }
+        return node.deepCopy();
+    }
+
+    private static JsonNode defaultValue(Kind kind, SpecField field) {
+        String path = path(kind) + "." + field.name();
+        return field.defaultValue()
+                .orElseThrow(() -> invalid(path, path + " is required: expected " + field.unit()));
     }
 
-    private static void requireKnown(Kind kind, ObjectNode spec) {
-        List<String> known = fields(kind).stream().map(SpecField::name).toList();
-        for (Iterator<Map.Entry<String, JsonNode>> given = spec.fields(); given.hasNext(); ) {
+    private static void requireKnown(Kind kind, String path, ObjectNode node, List<String> known) {
+        for (Iterator<Map.Entry<String, JsonNode>> given = node.fields(); given.hasNext(); ) {
             Map.Entry<String, JsonNode> entry = given.next();
             if (!known.contains(entry.getKey())) {
-                String path = "spec." + entry.getKey();
+                String field = path + "." + entry.getKey();
                 throw invalid(
-                        path,
-                        path
+                        field,
+                        field
                                 + " has the value "
                                 + entry.getValue()
                                 + ", but "
@@ -122,29 +135,25 @@
     }
 
     private static QuetzalscaleException fieldError(
-            Kind kind, ObjectNode spec, JsonMappingException e) {
-        List<String> path =
+            Kind kind, ObjectNode fields, JsonMappingException e) {
+        String name =
                 e.getPath().stream()
                         .map(JsonMappingException.Reference::getFieldName)
-                        .filter(name -> name != null)
-                        .collect(Collectors.toList());
+                        .filter(Objects::nonNull)
+                        .findFirst()
+                        .orElse("");
+        String field = name.isEmpty() ? SPEC : path(kind) + "." + name;
         if (e.getCause() instanceof QuetzalscaleException cause) {
-            if (path.isEmpty()) {
-                return cause;
-            }
-            return invalid(
-                    "spec." + path.get(0), "spec." + path.get(0) + ": " + cause.getMessage());
+            return name.isEmpty() ? cause : invalid(field, field + ": " + cause.getMessage());
         }
-        String name = path.isEmpty() ? "" : path.get(0);
         String expected =
                 fields(kind).stream()
-                        .filter(field -> field.name().equals(name))
+                        .filter(known -> known.name().equals(name))
                         .map(SpecField::unit)
                         .findFirst()
-                        .orElse(kind.path());
-        String field = name.isEmpty() ? "spec" : "spec." + name;
+                        .orElse("a spec of " + kind.path());
         return invalid(
-                field, field + " has the value " + spec.get(name) + ": expected " + expected);
+                field, field + " has the value " + fields.get(name) + ": expected " + expected);
     }
 
     private static Class<? extends Spec> type(Kind kind) {
--- a/net/src/test/java/org/quetzalscale/net/json/SpecJsonTest.java
+++ b/net/src/test/java/org/quetzalscale/net/json/SpecJsonTest.java
@@ -31,13 +31,13 @@
 
     private static String minimal(Kind kind) {
         return switch (kind) {
-            case TEAMS -> "{'upperLimit':5}";
+            case TEAMS -> "{'share':2,'upperLimit':5}";
             case KEYS -> "{'team':'t','secretHash':'" + "a".repeat(64) + "'}";
             case POOLS -> "{'minAvailable':1}";
             case WORKERS -> WORKER;
-            case QUEUES -> "{'pool':'p'}";
+            case QUEUES -> "{'pool':'p','timeoutMs':9}";
             case WAVES -> "{'action':'reboot'}";
-            case DEPLOYMENTS -> "{}";
+            case DEPLOYMENTS -> "{'weights':{'bufferCost':1,'rollOutTime':2,'moves':3,'share':4}}";
             case ASSIGNMENTS -> "{'pool':'p','phase':'ACTIVE'}";
         };
     }
@@ -63,17 +63,19 @@
                 quoteCharacter = '`',
                 delimiter = '|',
                 value = {
-                    "TEAMS|{'upperLimit':-1}|spec.upperLimit|-1",
-                    "TEAMS|{'upperLimit':'ten'}|spec.upperLimit|ten",
-                    "TEAMS|{'upperLimit':1.5}|spec.upperLimit|1.5",
+                    "TEAMS|{'share':1,'upperLimit':-1}|spec.upperLimit|-1",
+                    "TEAMS|{'share':1,'upperLimit':'ten'}|spec.upperLimit|ten",
+                    "TEAMS|{'share':1,'upperLimit':1.5}|spec.upperLimit|1.5",
                     "TEAMS|{'share':2}|spec.upperLimit|required",
                     "TEAMS|{'upperLimit':1,'shares':2}|spec.shares|no such field",
                     "POOLS|{'minAvailable':1,'spare':'yes'}|spec.spare|yes",
-                    "QUEUES|{'pool':'Not A Name'}|spec.pool|Not A Name",
+                    "QUEUES|{'timeoutMs':9,'pool':'Not A Name'}|spec.pool|Not A Name",
                     "WAVES|{'action':'melt'}|spec.action|melt",
                     "WAVES|{'action':'reboot','pools':['UP']}|spec.pools|UP",
                     "KEYS|{'team':'t','secretHash':'x'}|spec.secretHash|not shown",
-                    "DEPLOYMENTS|[]|spec|object"
+                    "DEPLOYMENTS|[]|spec|object",
+                    "DEPLOYMENTS|{'moves':1}|spec.moves|no such field",
+                    "DEPLOYMENTS|{'weights':{'moves':1}}|spec.weights.bufferCost|required"
                 })
         void namesFieldAndValueOfAnError(Kind kind, String spec, String field, String value) {
             assertThatThrownBy(() -> SpecJson.read(kind, json(spec)))
