Add the operator interface and the configuration service

Cause: no part could read or write resources, and other parts wait for a configuration to work against.

Change: the decision part of the configuration in core (edit rules, the copy, validity, known instances, in-force tracking) and ConfigStore over the transactional table; a ConfigService that keeps a copy current from the table; the operator HTTP interface with create, read, list, replace, delete, watch, status and probes; the secret of a key.

Ruled out: one change record for a worker and its assignment; watchers need each resource's own change, so one transaction may take several revisions.

Conclusion: usable with a single instance.

--- a/core/src/main/java/org/quetzalscale/core/resource/DeploymentSpec.java
+++ b/core/src/main/java/org/quetzalscale/core/resource/DeploymentSpec.java
@@ -12,10 +12,10 @@
         implements Spec {
     /** Checks the ranges; throws INVALID_FIELD. */
     public DeploymentSpec {
-        Fields.requireNotNegative("spec.bufferCost", bufferCost);
-        Fields.requireNotNegative("spec.rollOutTime", rollOutTime);
-        Fields.requireNotNegative("spec.moves", moves);
-        Fields.requireNotNegative("spec.share", share);
+        Fields.requireNotNegative("spec.weights.bufferCost", bufferCost);
+        Fields.requireNotNegative("spec.weights.rollOutTime", rollOutTime);
+        Fields.requireNotNegative("spec.weights.moves", moves);
+        Fields.requireNotNegative("spec.weights.share", share);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
@@ -0,0 +1,383 @@
+package org.quetzalscale.daemon.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.quetzalscale.core.config.Change;
+import org.quetzalscale.core.config.ChangeRecord;
+import org.quetzalscale.core.config.ConfigReader;
+import org.quetzalscale.core.config.ConfigSnapshot;
+import org.quetzalscale.core.config.ConfigSource;
+import org.quetzalscale.core.config.ConfigState;
+import org.quetzalscale.core.config.ConfigStore;
+import org.quetzalscale.core.config.ConfigWrite;
+import org.quetzalscale.core.config.Statement;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.fleet.Member;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.Revision;
+import org.quetzalscale.core.object.ObjectStore;
+import org.quetzalscale.core.table.TransactionalTable;
+import org.quetzalscale.core.time.TimeSource;
+import org.tinylog.Logger;
+
+/**
+ * The configuration of one daemon: keeps its copy current and valid, accepts writes, and tells when
+ * they are in force. All methods are safe for use by several threads and do not block.
+ */
+public final class ConfigService implements ConfigSource {
+    /** Largest gap that is read change by change, so that watchers see each one. */
+    private static final int MAX_GAP_CHANGES = 64;
+
+    private static final long CHECK_INTERVAL_MILLIS = 1_000;
+    private static final long WAITER_INTERVAL_MILLIS = 50;
+    private static final long IN_FORCE_TIMEOUT_MILLIS = 10_000;
+
+    private final InstanceId self;
+    private final long incarnation;
+    private final TimeSource time;
+    private final ConfigStore store;
+    private final SnapshotArchive archive;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ConfigState state;
+    private final InForceWaiters waiters = new InForceWaiters();
+    private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean notifying = new AtomicBoolean();
+    private final AtomicBoolean catchingUp = new AtomicBoolean();
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(ConfigService::thread);
+    private volatile ConfigSnapshot snapshot = ConfigSnapshot.EMPTY;
+    private volatile long validUntilMillis = Long.MIN_VALUE;
+    private volatile SiblingLinks links = SiblingLinks.NONE;
+
+    /** Creates a service whose copy is empty and not valid. */
+    public ConfigService(
+            InstanceId self, TransactionalTable table, ObjectStore objects, TimeSource time) {
+        UUID process = UUID.randomUUID();
+        this.self = self;
+        this.incarnation = process.getMostSignificantBits();
+        this.time = time;
+        this.state = new ConfigState(self);
+        this.store =
+                new ConfigStore(table, ChangeJson.CODECS, () -> self + "/" + UUID.randomUUID());
+        this.archive = new SnapshotArchive(objects, time);
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "config");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Sets the links to other instances; called before {@link #start}. */
+    public void connect(SiblingLinks siblingLinks) {
+        links = siblingLinks;
+    }
+
+    /** Starts to read the table; the copy becomes valid with the first successful check. */
+    public void start() {
+        executor.scheduleAtFixedRate(this::check, 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        executor.scheduleAtFixedRate(
+                this::checkWaiters,
+                WAITER_INTERVAL_MILLIS,
+                WAITER_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+        archive.load().thenAccept(this::offerArchived);
+    }
+
+    /** Stops all activity; the copy stays readable until its validity expires. */
+    public void stop() {
+        executor.shutdownNow();
+    }
+
+    /** The id of this instance. */
+    public InstanceId self() {
+        return self;
+    }
+
+    /** A number that differs for each process that runs under the id. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    @Override
+    public ConfigSnapshot snapshot() {
+        return snapshot;
+    }
+
+    @Override
+    public boolean isValid() {
+        return time.nowMillis() < validUntilMillis;
+    }
+
+    /** Calls the listener with the latest snapshot after changes, on the service's thread. */
+    public void addListener(Consumer<ConfigSnapshot> listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Accepts a write. The stage fails as {@link ConfigStore#write} does.
+     *
+     * @return how it ended, when it is in force everywhere or after 10 s
+     */
+    public CompletionStage<WriteResult> write(ConfigWrite write) {
+        return accept(write)
+                .thenCompose(
+                        changes -> {
+                            Revision last = changes.get(changes.size() - 1).revision();
+                            return awaitInForce(last, IN_FORCE_TIMEOUT_MILLIS)
+                                    .thenApply(pending -> new WriteResult(changes, pending));
+                        });
+    }
+
+    /**
+     * Accepts a write and returns the changes without waiting until they are in force. The stage
+     * fails as {@link ConfigStore#write} does.
+     */
+    public CompletionStage<List<Change>> accept(ConfigWrite write) {
+        return store.write(snapshot, write)
+                .thenApply(
+                        changes -> {
+                            changes.forEach(this::accepted);
+                            catchUp();
+                            return changes;
+                        });
+    }
+
+    private void accepted(Change change) {
+        update(() -> state.change(change, time.nowMillis()));
+        links.distribute(new ChangeRecord(change, self.value()));
+    }
+
+    /**
+     * Completes when a revision is in force everywhere, or when the time has passed.
+     *
+     * @return the instances that are pending then
+     */
+    public CompletionStage<SortedSet<InstanceId>> awaitInForce(
+            Revision revision, long timeoutMillis) {
+        CompletionStage<SortedSet<InstanceId>> pending =
+                waiters.await(revision, time.nowMillis() + timeoutMillis);
+        checkWaiters();
+        return pending;
+    }
+
+    /** The instances that may still accept work under a revision older than the given one. */
+    public SortedSet<InstanceId> pending(Revision revision) {
+        return locked(() -> state.pending(revision, time.nowMillis()));
+    }
+
+    /** The other instances that are known. */
+    public SortedSet<InstanceId> known() {
+        return locked(state::known);
+    }
+
+    /** This instance's word about its configuration. */
+    public Statement statement() {
+        return locked(() -> state.statement(time.nowMillis()));
+    }
+
+    /** The changes after a revision in order, or empty if some are not kept by this instance. */
+    public Optional<List<Change>> changesAfter(Revision after) {
+        return locked(() -> state.changesAfter(after));
+    }
+
+    /** The changes after a revision in order, from the table; fewer if some are not kept. */
+    public CompletionStage<List<Change>> readChangesAfter(Revision after, Revision to) {
+        return store.reader()
+                .changes(after, to)
+                .thenApply(records -> records.stream().map(ChangeRecord::change).toList());
+    }
+
+    /** Takes the platform's list of entry instances. */
+    public void list(List<Member> members) {
+        update(() -> state.list(members, time.nowMillis()));
+    }
+
+    /** Takes another instance's hello. */
+    public void hello(InstanceId sibling, long process, Set<InstanceId> mentioned) {
+        update(() -> state.hello(sibling, process, mentioned, time.nowMillis()));
+    }
+
+    /** Takes another instance's acknowledgement of this instance's hello. */
+    public void helloAck(InstanceId sibling, long process, Set<InstanceId> mentioned) {
+        update(() -> state.helloAck(sibling, process, mentioned, time.nowMillis()));
+    }
+
+    /** Takes that an instance's address refused a connection. */
+    public void refused(InstanceId sibling) {
+        update(() -> state.refused(sibling, time.nowMillis()));
+    }
+
+    /** Takes another instance's word, which it was asked for at the given time. */
+    public void statement(InstanceId sibling, long process, long askedMillis, Statement statement) {
+        update(() -> state.statement(sibling, process, askedMillis, statement, time.nowMillis()));
+        if (statement.seen().isNewerThan(snapshot.revision())) {
+            catchUp();
+        }
+    }
+
+    /** Takes that another instance applied a revision. */
+    public void confirm(InstanceId sibling, long process, Revision revision) {
+        update(() -> state.confirm(sibling, process, revision));
+    }
+
+    /**
+     * Takes a change that another instance sent.
+     *
+     * @return the revision of the copy afterwards
+     */
+    public Revision change(Change change) {
+        update(() -> state.change(change, time.nowMillis()));
+        Revision applied = snapshot.revision();
+        if (change.revision().isNewerThan(applied)) {
+            catchUp();
+        }
+        return applied;
+    }
+
+    /** Takes a snapshot that another instance sent. */
+    public void offer(ConfigSnapshot newer) {
+        update(() -> state.snapshot(newer, time.nowMillis()));
+    }
+
+    private void update(Runnable event) {
+        locked(
+                () -> {
+                    event.run();
+                    return null;
+                });
+        if (!waiters.isEmpty()) {
+            checkWaiters();
+        }
+    }
+
+    private <T> T locked(Supplier<T> event) {
+        lock.lock();
+        try {
+            T result = event.get();
+            boolean changed = snapshot != state.snapshot();
+            // Readers check the validity first, so the copy it applies to is published before it.
+            snapshot = state.snapshot();
+            validUntilMillis = state.validUntilMillis();
+            if (changed) {
+                notifyListeners();
+            }
+            return result;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void notifyListeners() {
+        if (notifying.compareAndSet(false, true)) {
+            execute(
+                    () -> {
+                        notifying.set(false);
+                        ConfigSnapshot latest = snapshot;
+                        listeners.forEach(listener -> listener.accept(latest));
+                    });
+        }
+    }
+
+    private void execute(Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            Logger.debug("task of the stopped configuration service dropped");
+        }
+    }
+
+    private void checkWaiters() {
+        long nowMillis = time.nowMillis();
+        waiters.check(this::pending, nowMillis);
+    }
+
+    private void check() {
+        archive();
+        long startMillis = time.nowMillis();
+        reader().revision()
+                .whenComplete(
+                        (revision, failure) -> {
+                            if (failure != null) {
+                                Logger.debug(
+                                        "freshness check without the table: {}",
+                                        failure.getMessage());
+                                recheckWithoutTable();
+                                return;
+                            }
+                            update(() -> state.tableRead(startMillis, revision, time.nowMillis()));
+                            catchUp();
+                        });
+    }
+
+    private void recheckWithoutTable() {
+        Statement own = statement();
+        if (own.seen().isNewerThan(own.applied())) {
+            catchUp();
+        }
+    }
+
+    private ConfigReader reader() {
+        return store.reader();
+    }
+
+    /** Fetches what is missing up to the highest revision heard of; one fetch runs at a time. */
+    private void catchUp() {
+        Statement own = statement();
+        if (!own.seen().isNewerThan(own.applied()) || !catchingUp.compareAndSet(false, true)) {
+            return;
+        }
+        links.fetch(own.applied());
+        fetchFromTable(own)
+                .whenComplete(
+                        (done, failure) -> {
+                            catchingUp.set(false);
+                            if (failure != null) {
+                                Logger.debug(
+                                        "changes after {} not read: {}",
+                                        own.applied(),
+                                        QuetzalscaleException.from(failure).getMessage());
+                            }
+                        });
+    }
+
+    private CompletionStage<Void> fetchFromTable(Statement own) {
+        if (own.seen().value() - own.applied().value() > MAX_GAP_CHANGES) {
+            return reader().load().thenAccept(this::offer);
+        }
+        return reader().changes(own.applied(), own.seen())
+                .thenCompose(
+                        records -> {
+                            records.forEach(record -> change(record.change()));
+                            return own.seen().isNewerThan(snapshot.revision())
+                                    ? reader().load().thenAccept(this::offer)
+                                    : CompletableFuture.completedFuture(null);
+                        });
+    }
+
+    /** One instance is enough to store snapshots; two of them at once do no harm. */
+    private void archive() {
+        SortedSet<InstanceId> known = known();
+        if (known.isEmpty() || self.compareTo(known.first()) < 0) {
+            archive.storeIfDue(this::snapshot);
+        }
+    }
+
+    private void offerArchived(Optional<ConfigSnapshot> archived) {
+        archived.ifPresent(this::offer);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/SnapshotArchive.java
@@ -0,0 +1,102 @@
+package org.quetzalscale.daemon.config;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.quetzalscale.core.config.ConfigSnapshot;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.Revision;
+import org.quetzalscale.core.object.ObjectStore;
+import org.quetzalscale.core.time.TimeSource;
+import org.tinylog.Logger;
+
+/**
+ * Snapshots in the object store, from which an instance can start while the table is away. They are
+ * a start aid only: a copy read from one becomes valid by a freshness check like any other.
+ */
+final class SnapshotArchive {
+    private static final String PREFIX = "config/snapshot/";
+
+    /** The store has no delete, so snapshots rotate over a fixed set of names. */
+    private static final int SLOTS = 4;
+
+    private static final long INTERVAL_REVISIONS = 100;
+    private static final long INTERVAL_MILLIS = 60_000;
+
+    private final ObjectStore objects;
+    private final TimeSource time;
+    private Revision stored = Revision.NONE;
+    private long storedMillis;
+    private long nextSlot;
+
+    SnapshotArchive(ObjectStore objects, TimeSource time) {
+        this.objects = objects;
+        this.time = time;
+        this.storedMillis = time.nowMillis();
+    }
+
+    /** Stores the snapshot if enough changed or enough time passed since the last one. */
+    synchronized void storeIfDue(Supplier<ConfigSnapshot> latest) {
+        ConfigSnapshot snapshot = latest.get();
+        long ahead = snapshot.revision().value() - stored.value();
+        boolean late = time.nowMillis() - storedMillis >= INTERVAL_MILLIS;
+        if (ahead <= 0 || (ahead < INTERVAL_REVISIONS && !late)) {
+            return;
+        }
+        stored = snapshot.revision();
+        storedMillis = time.nowMillis();
+        String name = PREFIX + nextSlot++ % SLOTS;
+        objects.put(name, SnapshotJson.write(snapshot))
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                Logger.warn(
+                                        "snapshot {} not stored: {}",
+                                        snapshot.revision(),
+                                        QuetzalscaleException.from(failure).getMessage());
+                            }
+                        });
+    }
+
+    /** The stored snapshot of the highest revision; empty if there is none or none can be read. */
+    CompletionStage<Optional<ConfigSnapshot>> load() {
+        return objects.list(PREFIX)
+                .thenCompose(this::loadAll)
+                .exceptionally(
+                        failure -> {
+                            Logger.info(
+                                    "no snapshot from the object store: {}",
+                                    QuetzalscaleException.from(failure).getMessage());
+                            return Optional.empty();
+                        });
+    }
+
+    private CompletionStage<Optional<ConfigSnapshot>> loadAll(List<String> names) {
+        List<CompletableFuture<Optional<ConfigSnapshot>>> loads =
+                names.stream().map(this::loadOne).toList();
+        return CompletableFuture.allOf(loads.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        done ->
+                                loads.stream()
+                                        .map(CompletableFuture::join)
+                                        .flatMap(Optional::stream)
+                                        .max(Comparator.comparing(ConfigSnapshot::revision)));
+    }
+
+    private CompletableFuture<Optional<ConfigSnapshot>> loadOne(String name) {
+        return objects.get(name)
+                .thenApply(content -> content.map(SnapshotJson::read))
+                .exceptionally(
+                        failure -> {
+                            Logger.warn(
+                                    "object {} is not a snapshot: {}",
+                                    name,
+                                    QuetzalscaleException.from(failure).getMessage());
+                            return Optional.empty();
+                        })
+                .toCompletableFuture();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for operators: resources, watches, status and metrics. */
+package org.quetzalscale.daemon.operator;
