--- a/core/src/main/java/org/quetzalscale/core/fleet/SimulatedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/fleet/SimulatedTask.java
@@ -119,7 +119,7 @@
     }
 
     private void run(long untilMillis) {
-        if (state.ended() || untilMillis <= atMillis) {
+        if (state.ended() || untilMillis < atMillis) {
             return;
         }
         long finishMillis = finishMillis();
--- a/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
+++ b/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
@@ -30,7 +30,9 @@
         lock.lock();
         try {
             List<Row> found = new ArrayList<>();
-            for (Row row : rows.tailMap(new RowKey(prefix), true).values()) {
+            NavigableMap<RowKey, Row> candidates =
+                    prefix.isEmpty() ? rows : rows.tailMap(new RowKey(prefix), true);
+            for (Row row : candidates.values()) {
                 if (!row.key().value().startsWith(prefix)) {
                     break;
                 }
