--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/IntentHold.java
@@ -0,0 +1,72 @@
+package org.quetzalscale.daemon.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.quetzalscale.core.retry.Intent;
+import org.quetzalscale.core.retry.IntentLog;
+import org.quetzalscale.core.retry.IntentResult;
+
+/** The intent of one request with an idempotency key. All methods run on its event loop. */
+final class IntentHold {
+    private static final int WITHDRAW_MILLIS = 1_000;
+
+    private final IntentLog intents;
+    private final EventLoop loop;
+    private Intent intent;
+
+    IntentHold(IntentLog intents, EventLoop loop) {
+        this.intents = intents;
+        this.loop = loop;
+    }
+
+    /** Inserts or finds the intent, then calls back with the result or the failure. */
+    void begin(
+            CallerRequest request,
+            ByteBuf body,
+            long waitMillis,
+            BiConsumer<IntentResult, Throwable> found) {
+        intents.begin(
+                        request.team().orElseThrow(),
+                        request.idempotencyKey().orElseThrow(),
+                        Fingerprint.of(request, body),
+                        waitMillis)
+                .whenComplete(
+                        (result, failure) ->
+                                loop.execute(
+                                        () -> {
+                                            if (result instanceof IntentResult.Proceed proceed) {
+                                                intent = proceed.intent();
+                                            }
+                                            found.accept(result, failure);
+                                        }));
+    }
+
+    /** Whether this request has the right to run. */
+    boolean isHeld() {
+        return intent != null;
+    }
+
+    /**
+     * Withdraws the intent, if it is held, then calls back: a caller that hears "not run" may send
+     * its request again at once. A failure is not reported, because the answer stays true.
+     */
+    void withdraw(Runnable then) {
+        if (intent == null) {
+            then.run();
+            return;
+        }
+        intents.withdraw(intent)
+                .thenApply(done -> done)
+                .toCompletableFuture()
+                .orTimeout(WITHDRAW_MILLIS, TimeUnit.MILLISECONDS)
+                .whenComplete((done, failure) -> loop.execute(then));
+    }
+
+    /** A recorder for the outcome; the intent must be held. */
+    OutcomeRecorder recorder(ByteBufAllocator allocator, BufferBudget budget) {
+        return new OutcomeRecorder(intents, intent, loop, allocator, budget);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/target/TargetPool.java
@@ -0,0 +1,92 @@
+package org.quetzalscale.daemon.target;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.concurrent.TimeUnit;
+import org.quetzalscale.core.time.TimeSource;
+
+/**
+ * The connections to one target. An idle connection is used again only on its own event loop, so
+ * that a request and its answer stay on one thread.
+ */
+final class TargetPool {
+    private record Idle(TargetConnection connection, long sinceMillis) {}
+
+    private final String address;
+    private final TargetLimits limits;
+    private final TimeSource time;
+    private final ClosingListener closingListener;
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private int open;
+
+    TargetPool(
+            String address, TargetLimits limits, TimeSource time, ClosingListener closingListener) {
+        this.address = address;
+        this.limits = limits;
+        this.time = time;
+        this.closingListener = closingListener;
+    }
+
+    /** An idle connection of the event loop that is fresh enough, or null. */
+    synchronized TargetConnection take(EventLoop loop) {
+        long oldest = time.nowMillis() - limits.idleMillis();
+        for (Iterator<Idle> all = idle.descendingIterator(); all.hasNext(); ) {
+            Idle candidate = all.next();
+            if (candidate.sinceMillis() < oldest) {
+                all.remove();
+                candidate.connection().closeFromPool();
+            } else if (candidate.connection().context().channel().eventLoop() == loop) {
+                all.remove();
+                if (candidate.connection().isUsable()) {
+                    return candidate.connection();
+                }
+            }
+        }
+        return null;
+    }
+
+    /** Counts a connection that is being opened; makes room for it among the idle ones. */
+    synchronized void opening() {
+        open++;
+        if (open > limits.maxConnections() && !idle.isEmpty()) {
+            idle.removeFirst().connection().closeFromPool();
+        }
+    }
+
+    synchronized void closed(TargetConnection connection) {
+        open--;
+        idle.removeIf(candidate -> candidate.connection() == connection);
+    }
+
+    void offer(TargetConnection connection) {
+        synchronized (this) {
+            idle.addLast(new Idle(connection, time.nowMillis()));
+        }
+        connection
+                .context()
+                .executor()
+                .schedule(this::closeStale, limits.idleMillis() + 1L, TimeUnit.MILLISECONDS);
+    }
+
+    void announceClosing() {
+        closingListener.closing(address);
+    }
+
+    synchronized void closeAll() {
+        idle.forEach(candidate -> candidate.connection().closeFromPool());
+        idle.clear();
+    }
+
+    synchronized int openConnections() {
+        return open;
+    }
+
+    private synchronized void closeStale() {
+        long oldest = time.nowMillis() - limits.idleMillis();
+        while (!idle.isEmpty() && idle.getFirst().sinceMillis() < oldest) {
+            idle.removeFirst().connection().closeFromPool();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/target/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to the targets that run callers' requests. */
+package org.quetzalscale.daemon.target;
