--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/apply/package-info.java
@@ -0,0 +1,2 @@
+/** Comparison of declarations with the present resources. */
+package org.quetzalscale.ctl.apply;
--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/client/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the operator interface. */
+package org.quetzalscale.ctl.client;
--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of quetzalctl. */
+package org.quetzalscale.ctl.command;
--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/document/package-info.java
@@ -0,0 +1,2 @@
+/** Declarations in files. */
+package org.quetzalscale.ctl.document;
--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and JSON for people and scripts. */
+package org.quetzalscale.ctl.output;
--- /dev/null
+++ b/ctl/src/main/java/org/quetzalscale/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** quetzalctl, the command-line tool of operators. */
+package org.quetzalscale.ctl;
--- a/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
+++ b/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
@@ -60,6 +60,11 @@
         return kind == Kind.DEPLOYMENTS ? SPEC + "." + WEIGHTS : SPEC;
     }
 
+    /** The object that holds the fields of a spec, or a missing node. */
+    public static JsonNode fieldsOf(Kind kind, JsonNode spec) {
+        return kind == Kind.DEPLOYMENTS ? spec.path(WEIGHTS) : spec;
+    }
+
     /** The spec as JSON with every field. */
     public static ObjectNode write(Spec spec) {
         ObjectNode fields = MAPPER.valueToTree(spec);
