Repeat reads that Netty ends without a message

Change: the loop repeats such a read and never asks for two messages at once; writes are flushed once a turn of the event loop.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.daemon.target.BatchWriter;
 import org.quetzalscale.daemon.target.ReadLoop;
 import org.quetzalscale.net.http.HttpReply;
 
@@ -51,6 +52,7 @@
     private final boolean surplus;
     private ChannelHandlerContext context;
     private ReadLoop reads;
+    private BatchWriter writer;
     private State state = State.WAITING;
     private Exchange exchange;
     private HttpRequest next;
@@ -110,13 +112,13 @@
         if (closeAfterAnswer) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        context.writeAndFlush(head);
+        writer.write(head);
     }
 
     /** Sends a part of the answer's body; takes the content over. The last part ends the answer. */
     void write(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        context.writeAndFlush(content);
+        writer.write(content);
         if (last) {
             endAnswer();
         }
@@ -163,6 +165,7 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         reads = new ReadLoop(added);
+        writer = new BatchWriter(added);
     }
 
     @Override
@@ -183,6 +186,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        reads.received();
         switch (state) {
             case WAITING, SERVING -> receive(message);
             case SKIPPING_BODY -> skip(message);
@@ -191,6 +195,11 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        reads.readComplete();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ignored) {
         if (!isWritable()) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/target/ReadLoop.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/target/ReadLoop.java
@@ -3,36 +3,38 @@
 import io.netty.channel.ChannelHandlerContext;
 
 /**
- * Asks a channel for messages one by one.
+ * Asks a channel with a flow-control handler for messages one by one.
  *
- * <p>A flow-control handler delivers a waiting message inside the call that asks for it, and the
- * receiver asks for the next one in turn. The loop keeps the stack flat: one socket read can hold
- * thousands of one-byte chunks.
+ * <p>Netty may end a read without a message, for example when the bytes were part of one; the read
+ * then has to be repeated. A second call while one is open must not ask for a second message. All
+ * methods run on the channel's event loop.
  */
 public final class ReadLoop {
     private final ChannelHandlerContext context;
-    private boolean reading;
-    private boolean again;
+    private boolean wanted;
 
     /** A loop for the handler of this context. */
     public ReadLoop(ChannelHandlerContext context) {
         this.context = context;
     }
 
-    /** Asks for one message; must be called on the channel's event loop. */
+    /** Asks for one message, unless one is asked for already. */
     public void read() {
-        if (reading) {
-            again = true;
-            return;
+        if (!wanted) {
+            wanted = true;
+            context.read();
         }
-        reading = true;
-        try {
-            do {
-                again = false;
-                context.read();
-            } while (again);
-        } finally {
-            reading = false;
+    }
+
+    /** To be called when a message arrives. */
+    public void received() {
+        wanted = false;
+    }
+
+    /** To be called when a read of the channel is complete. */
+    public void readComplete() {
+        if (wanted) {
+            context.read();
         }
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/target/TargetConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/target/TargetConnection.java
@@ -26,6 +26,7 @@
     private final TargetResponseDecoder decoder;
     private ChannelHandlerContext context;
     private ReadLoop reads;
+    private BatchWriter writer;
     private AnswerListener listener;
     private ChannelFuture headWritten;
     private boolean used;
@@ -65,7 +66,7 @@
         answerEnded = false;
         informational = false;
         keepAlive = false;
-        headWritten = context.writeAndFlush(head);
+        headWritten = writer.write(head);
     }
 
     /** Sends a part of the request's body; takes the content over. */
@@ -73,7 +74,7 @@
         if (content instanceof LastHttpContent) {
             requestEnded = true;
         }
-        context.writeAndFlush(content);
+        writer.write(content);
     }
 
     /** Asks for the next part of the answer. */
@@ -129,10 +130,12 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         reads = new ReadLoop(added);
+        writer = new BatchWriter(added);
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        reads.received();
         if (listener == null || answerEnded || !headWritten.isDone()) {
             // Bytes that no request asked for must not become the answer of the next one.
             ReferenceCountUtil.release(message);
@@ -199,6 +202,11 @@
         listener.content(content);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        reads.readComplete();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ignored) {
         if (listener != null && context.channel().isWritable()) {
