--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/job/JobCodecs.java
@@ -0,0 +1,17 @@
+package org.quetzalscale.core.job;
+
+import java.util.Objects;
+import org.quetzalscale.core.billing.LedgerEntry;
+import org.quetzalscale.core.limit.LimitRow;
+import org.quetzalscale.core.table.RowCodec;
+
+/** How the rows that concern jobs are stored as text. */
+public record JobCodecs(
+        RowCodec<JobRow> job, RowCodec<LimitRow> limit, RowCodec<LedgerEntry> ledger) {
+    /** Requires all codecs. */
+    public JobCodecs {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(limit, "limit");
+        Objects.requireNonNull(ledger, "ledger");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/job/JobStore.java
@@ -0,0 +1,355 @@
+package org.quetzalscale.core.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.limit.Block;
+import org.quetzalscale.core.limit.LimitRow;
+import org.quetzalscale.core.table.CommitResult;
+import org.quetzalscale.core.table.Condition;
+import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.core.table.TransactionalTable;
+
+/**
+ * Jobs in the platform's table. Every operation is one transaction; when the answer to a commit was
+ * lost, the rows are read back. Stages fail with STORE_UNAVAILABLE if nothing took effect and with
+ * STORE_OUTCOME_UNKNOWN if that could not be found out.
+ */
+public final class JobStore {
+    private static final int MAX_TRIES = 8;
+
+    private final TransactionalTable table;
+    private final JobCodecs codecs;
+
+    /** A store of jobs in a table. */
+    public JobStore(TransactionalTable table, JobCodecs codecs) {
+        this.table = table;
+        this.codecs = codecs;
+    }
+
+    /**
+     * Submits a job; the stage completes when its row is durable. A repeated submission with the
+     * same identifier returns the job as it is now.
+     *
+     * @param id random, or {@link JobKeys#derivedId} of a submission key
+     * @param nowMillis wall-clock time in milliseconds
+     * @return fails with IDEMPOTENCY_KEY_REUSED if the identifier stands for another job
+     */
+    public CompletionStage<JobRow> submit(JobId id, JobSpec spec, long nowMillis) {
+        return submit(JobRow.submitted(id, spec, nowMillis), MAX_TRIES);
+    }
+
+    /**
+     * Looks up a team's job.
+     *
+     * @return fails with JOB_UNKNOWN if the team has no such job
+     */
+    public CompletionStage<JobRow> find(TeamId team, JobId id) {
+        return findStored(id)
+                .thenApply(
+                        found ->
+                                found.map(StoredJob::job)
+                                        .filter(job -> job.spec().team().equals(team))
+                                        .orElseThrow(() -> unknown(id)));
+    }
+
+    /**
+     * Cancels a team's job: at once if it waits, else its attempt is stopped soon. The job may
+     * still succeed if it ends before it is stopped. A job that has ended stays as it is.
+     *
+     * @return fails with JOB_UNKNOWN if the team has no such job
+     */
+    public CompletionStage<JobRow> cancel(TeamId team, JobId id) {
+        return cancel(team, id, MAX_TRIES);
+    }
+
+    /** All jobs that have not ended. */
+    public CompletionStage<List<StoredJob>> open() {
+        return table.scan(JobKeys.OPEN_PREFIX)
+                .thenApply(rows -> rows.stream().map(this::decode).toList());
+    }
+
+    /** Upper limits and blocks of all teams that have a row. */
+    public CompletionStage<Map<TeamId, LimitRow>> limits() {
+        return table.scan("limit/")
+                .thenApply(
+                        rows -> {
+                            Map<TeamId, LimitRow> limits = new TreeMap<>();
+                            for (Row row : rows) {
+                                String team = row.key().value().substring("limit/".length());
+                                limits.put(new TeamId(team), codecs.limit().decode(row.value()));
+                            }
+                            return limits;
+                        });
+    }
+
+    /**
+     * Commits changes of distinct jobs in one transaction under the lease.
+     *
+     * @param declaredLimit upper limit of a team that has no row yet, in units
+     * @return the jobs as written, or empty if nothing changed: the lease was lost, a job is no
+     *     longer as it was read, or a team has too few free units
+     */
+    public CompletionStage<Optional<List<StoredJob>>> commit(
+            Lease lease, List<JobChange> changes, ToIntFunction<TeamId> declaredLimit) {
+        Map<TeamId, Integer> units = new TreeMap<>();
+        for (JobChange change : changes) {
+            if (change.units() != 0) {
+                units.merge(change.after().spec().team(), change.units(), Integer::sum);
+            }
+        }
+        return readLimits(List.copyOf(units.keySet()))
+                .thenCompose(
+                        rows -> {
+                            Transaction.Builder transaction =
+                                    Transaction.builder().require(lease.fence());
+                            for (Map.Entry<TeamId, Integer> entry : units.entrySet()) {
+                                TeamId team = entry.getKey();
+                                if (!addUnits(
+                                        transaction,
+                                        team,
+                                        rows.get(team),
+                                        entry.getValue(),
+                                        declaredLimit)) {
+                                    return CompletableFuture.completedFuture(Optional.empty());
+                                }
+                            }
+                            changes.forEach(change -> add(transaction, change));
+                            return commitAndReadBack(transaction.build(), changes);
+                        });
+    }
+
+    private CompletionStage<JobRow> submit(JobRow job, int triesLeft) {
+        RowKey key = JobKeys.open(job.id());
+        Transaction transaction =
+                Transaction.builder()
+                        .require(Condition.absent(JobKeys.done(job.id())))
+                        .insert(key, codecs.job().encode(job))
+                        .build();
+        return onUnknown(
+                table.commit(transaction)
+                        .thenCompose(
+                                result ->
+                                        result.isCommitted()
+                                                ? CompletableFuture.completedFuture(job)
+                                                : existing(job)),
+                failure ->
+                        findStored(job.id())
+                                .thenCompose(
+                                        found -> {
+                                            if (found.isPresent()) {
+                                                return existing(job);
+                                            }
+                                            if (triesLeft <= 1) {
+                                                return CompletableFuture.failedFuture(failure);
+                                            }
+                                            // The insert can take effect only once, so that a
+                                            // late arrival of the first commit does no harm.
+                                            return submit(job, triesLeft - 1);
+                                        }));
+    }
+
+    private CompletionStage<JobRow> existing(JobRow submitted) {
+        return findStored(submitted.id())
+                .thenApply(
+                        found -> {
+                            JobRow job = found.orElseThrow(() -> unknown(submitted.id())).job();
+                            if (!job.spec().equals(submitted.spec())) {
+                                throw new QuetzalscaleException(
+                                        ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                                        "job "
+                                                + job.id()
+                                                + " was submitted with this key and another"
+                                                + " content");
+                            }
+                            return job;
+                        });
+    }
+
+    private CompletionStage<JobRow> cancel(TeamId team, JobId id, int triesLeft) {
+        return findStored(id)
+                .thenCompose(
+                        found -> {
+                            StoredJob stored =
+                                    found.filter(job -> job.job().spec().team().equals(team))
+                                            .orElseThrow(() -> unknown(id));
+                            JobRow job = stored.job();
+                            if (job.state().ended() || job.cancelRequested()) {
+                                return CompletableFuture.completedFuture(job);
+                            }
+                            JobRow after =
+                                    job.state() == JobState.QUEUED
+                                            ? job.cancelling()
+                                                    .released(JobState.CANCELLED, "cancelled")
+                                            : job.cancelling();
+                            JobChange change = new JobChange(stored, after, Optional.empty(), 0);
+                            Transaction.Builder transaction = Transaction.builder();
+                            add(transaction, change);
+                            return commitAndReadBack(transaction.build(), List.of(change))
+                                    .thenCompose(
+                                            written -> {
+                                                if (written.isPresent()) {
+                                                    return CompletableFuture.completedFuture(after);
+                                                }
+                                                if (triesLeft <= 1) {
+                                                    throw new QuetzalscaleException(
+                                                            ErrorKind.VERSION_CONFLICT,
+                                                            "job " + id + " changes too often");
+                                                }
+                                                return cancel(team, id, triesLeft - 1);
+                                            });
+                        });
+    }
+
+    private void add(Transaction.Builder transaction, JobChange change) {
+        Row before = change.before().row();
+        JobRow after = change.after();
+        if (after.state().ended()) {
+            transaction.delete(before);
+            transaction.insert(JobKeys.done(after.id()), codecs.job().encode(after));
+        } else {
+            transaction.replace(before, codecs.job().encode(after));
+        }
+        change.ledger()
+                .ifPresent(entry -> transaction.insert(entry.key(), codecs.ledger().encode(entry)));
+    }
+
+    private boolean addUnits(
+            Transaction.Builder transaction,
+            TeamId team,
+            Optional<Row> row,
+            int units,
+            ToIntFunction<TeamId> declaredLimit) {
+        LimitRow limit =
+                row.map(present -> codecs.limit().decode(present.value()))
+                        .orElseGet(() -> new LimitRow(declaredLimit.applyAsInt(team), Map.of()));
+        if (units > limit.free()) {
+            return false;
+        }
+        Block block = limit.block(LimitRow.JOBS);
+        int granted = Math.max(0, block.granted() + units);
+        int wanted = units > 0 ? block.wanted() : block.wanted() + units;
+        LimitRow changed = limit.with(LimitRow.JOBS, new Block(granted, Math.max(granted, wanted)));
+        String text = codecs.limit().encode(changed);
+        if (row.isPresent()) {
+            transaction.replace(row.get(), text);
+        } else {
+            transaction.insert(JobKeys.limit(team), text);
+        }
+        return true;
+    }
+
+    private CompletionStage<Map<TeamId, Optional<Row>>> readLimits(List<TeamId> teams) {
+        CompletionStage<Map<TeamId, Optional<Row>>> rows =
+                CompletableFuture.completedFuture(new TreeMap<>());
+        for (TeamId team : teams) {
+            rows =
+                    rows.thenCombine(
+                            table.read(JobKeys.limit(team)),
+                            (found, row) -> {
+                                found.put(team, row);
+                                return found;
+                            });
+        }
+        return rows;
+    }
+
+    private CompletionStage<Optional<List<StoredJob>>> commitAndReadBack(
+            Transaction transaction, List<JobChange> changes) {
+        return onUnknown(
+                table.commit(transaction).thenApply(result -> written(result, changes)),
+                failure -> readBack(changes));
+    }
+
+    private Optional<List<StoredJob>> written(CommitResult result, List<JobChange> changes) {
+        if (!result.isCommitted()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                changes.stream()
+                        .map(
+                                change ->
+                                        new StoredJob(
+                                                new Row(
+                                                        key(change.after()),
+                                                        result.version(),
+                                                        codecs.job().encode(change.after())),
+                                                change.after()))
+                        .toList());
+    }
+
+    /** One row tells for all, because they were written together. */
+    private CompletionStage<Optional<List<StoredJob>>> readBack(List<JobChange> changes) {
+        List<CompletableFuture<Optional<Row>>> reads = new ArrayList<>();
+        for (JobChange change : changes) {
+            reads.add(table.read(key(change.after())).toCompletableFuture());
+        }
+        return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        done -> {
+                            List<StoredJob> written = new ArrayList<>();
+                            for (int i = 0; i < changes.size(); i++) {
+                                JobRow after = changes.get(i).after();
+                                Optional<Row> row = reads.get(i).join();
+                                if (row.isEmpty()
+                                        || !row.get().value().equals(codecs.job().encode(after))) {
+                                    return Optional.empty();
+                                }
+                                written.add(new StoredJob(row.get(), after));
+                            }
+                            return Optional.of(written);
+                        });
+    }
+
+    private CompletionStage<Optional<StoredJob>> findStored(JobId id) {
+        // A job moves from the first row to the second and never back.
+        return table.read(JobKeys.open(id))
+                .thenCompose(
+                        row ->
+                                row.isPresent()
+                                        ? CompletableFuture.completedFuture(row)
+                                        : table.read(JobKeys.done(id)))
+                .thenApply(row -> row.map(this::decode));
+    }
+
+    private StoredJob decode(Row row) {
+        return new StoredJob(row, codecs.job().decode(row.value()));
+    }
+
+    private static RowKey key(JobRow job) {
+        return job.state().ended() ? JobKeys.done(job.id()) : JobKeys.open(job.id());
+    }
+
+    private static QuetzalscaleException unknown(JobId id) {
+        return new QuetzalscaleException(ErrorKind.JOB_UNKNOWN, "there is no job " + id);
+    }
+
+    private static <T> CompletionStage<T> onUnknown(
+            CompletionStage<T> stage,
+            Function<QuetzalscaleException, CompletionStage<T>> recovery) {
+        return stage.handle(
+                        (value, thrown) -> {
+                            if (thrown == null) {
+                                return CompletableFuture.<T>completedFuture(value);
+                            }
+                            QuetzalscaleException failure = QuetzalscaleException.from(thrown);
+                            return failure.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
+                                    ? recovery.apply(failure)
+                                    : CompletableFuture.<T>failedFuture(failure);
+                        })
+                .thenCompose(Function.identity());
+    }
+}
