Add the job scheduler, fault attribution, shares and the job service

Cause: jobs need an order of starts by team share and urgency, attempts have to be driven through outages and takeovers, and submitters need answers.

JobDriver starts each tick from the rows, grants attempts before their tasks start, and records ends only from the platform's report.

Ruled out: waiting for the platform's answers within a tick; one silent call would delay urgent starts. Answers are taken in by the next tick. Counting a success before a failure as evidence against a job: the worker may have broken between the two.

--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/job/FleetObserver.java
@@ -0,0 +1,243 @@
+package org.quetzalscale.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.quetzalscale.core.config.ConfigSnapshot;
+import org.quetzalscale.core.config.Versioned;
+import org.quetzalscale.core.fleet.TaskReport;
+import org.quetzalscale.core.fleet.TaskState;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.TaskId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.limit.LimitRow;
+import org.quetzalscale.core.resource.AssignmentSpec;
+import org.quetzalscale.core.resource.Kind;
+import org.quetzalscale.core.resource.TeamSpec;
+import org.quetzalscale.core.resource.WorkerPhase;
+import org.quetzalscale.core.resource.WorkerSpec;
+import org.quetzalscale.core.share.Resources;
+
+/**
+ * Puts together what the scheduler decides on, from the configuration, the rows and what was
+ * learned from reports. Not safe for use by several threads.
+ */
+public final class FleetObserver {
+    private static final long FIRST_RETRY_MILLIS = 1_000;
+    private static final int MAX_RETRY_DOUBLINGS = 5;
+
+    private final Estimator estimator = new Estimator();
+    private final FaultAttribution attribution = new FaultAttribution();
+    private final Map<JobId, Integer> recorded = new HashMap<>();
+    private final Map<JobId, Long> retryAtMillis = new HashMap<>();
+
+    /** The record of ended attempts. */
+    public FaultAttribution attribution() {
+        return attribution;
+    }
+
+    /** Learns from an ended attempt whose end was committed. */
+    public void learn(JobRow before, TaskReport report, long nowMillis) {
+        estimator.learn(before.spec(), report);
+        switch (report.state()) {
+            case SUCCEEDED -> record(before.id(), before.attempt(), report.worker(), true, "");
+            case FAILED -> {
+                record(before.id(), before.attempt(), report.worker(), false, report.reason());
+                int doublings = (int) Math.min(MAX_RETRY_DOUBLINGS, before.failures());
+                retryAtMillis.put(before.id(), nowMillis + (FIRST_RETRY_MILLIS << doublings));
+            }
+            default -> {
+                // Stopped and lost attempts say nothing about job or worker.
+            }
+        }
+    }
+
+    /** Learns from the attempts in the rows of a former holder of the lease. */
+    public void adopt(List<StoredJob> jobs) {
+        for (StoredJob stored : jobs) {
+            JobRow job = stored.job();
+            for (Attempt attempt : job.attempts()) {
+                if (attempt.end() == TaskState.FAILED) {
+                    record(job.id(), attempt.number(), attempt.worker(), false, attempt.reason());
+                }
+            }
+        }
+    }
+
+    /** Drops what concerns jobs that have ended. */
+    public void retain(Set<JobId> open) {
+        retryAtMillis.keySet().retainAll(open);
+        recorded.keySet().retainAll(open);
+    }
+
+    /** Why a job can never run on the declared workers, or empty if it can or none is declared. */
+    public static Optional<String> neverFits(JobSpec spec, ConfigSnapshot config) {
+        Resources declared =
+                new Resources(spec.cores(), spec.memoryMib(), spec.accelerators(), spec.slots());
+        Resources largest = Resources.NONE;
+        boolean any = false;
+        for (Versioned versioned : config.all(Kind.WORKERS).values()) {
+            WorkerSpec worker = (WorkerSpec) versioned.spec();
+            if (!spec.pool().isEmpty() && !spec.pool().equals(worker.pool().value())) {
+                continue;
+            }
+            if (declared.fitsIn(capacity(worker))) {
+                return Optional.empty();
+            }
+            any = true;
+            largest = largest.max(capacity(worker));
+        }
+        if (!any) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                String.format(
+                        Locale.ROOT,
+                        "needs %d cores, %d MiB, %d accelerators and %d slots;"
+                                + " no worker has them together, the most of each are"
+                                + " %.0f cores, %.0f MiB, %.0f accelerators and %.0f slots",
+                        spec.cores(),
+                        spec.memoryMib(),
+                        spec.accelerators(),
+                        spec.slots(),
+                        largest.cores(),
+                        largest.memoryMib(),
+                        largest.accelerators(),
+                        largest.slots()));
+    }
+
+    /**
+     * What the scheduler decides on.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @param wallMillis wall-clock time in milliseconds
+     */
+    public FleetView view(
+            ConfigSnapshot config,
+            List<StoredJob> jobs,
+            Map<TeamId, LimitRow> limits,
+            Set<WorkerId> setAside,
+            TaskTracker tracker,
+            long nowMillis,
+            long wallMillis) {
+        List<WaitingJob> waiting = new ArrayList<>();
+        List<RunningJob> running = new ArrayList<>();
+        Resources largest = Resources.NONE;
+        for (Versioned versioned : config.all(Kind.WORKERS).values()) {
+            largest = largest.max(capacity((WorkerSpec) versioned.spec()));
+        }
+        Set<WorkerId> occupied = new HashSet<>();
+        for (StoredJob stored : jobs) {
+            JobRow job = stored.job();
+            if (job.state().holdsUnits()) {
+                RunningJob held = running(stored, tracker);
+                running.add(held);
+                occupied.add(held.worker());
+            } else if (retryAtMillis.getOrDefault(job.id(), nowMillis) <= nowMillis) {
+                waiting.add(
+                        new WaitingJob(
+                                stored,
+                                estimator.need(job.spec()).min(largest),
+                                attribution.failedOn(job.id())));
+            }
+        }
+        Function<WorkerId, Boolean> blocked =
+                worker ->
+                        setAside.contains(worker)
+                                || attribution.isOnProbation(worker) && occupied.contains(worker);
+        return new FleetView(
+                wallMillis, workers(config, blocked), teams(config, limits), waiting, running);
+    }
+
+    private RunningJob running(StoredJob stored, TaskTracker tracker) {
+        JobSpec spec = stored.job().spec();
+        TaskId task = stored.job().task();
+        Optional<TaskReport> report = tracker.report(task);
+        int percent = tracker.throttlePercent(task);
+        Resources use =
+                report.map(present -> estimator.use(spec, present))
+                        .orElseGet(() -> estimator.need(spec));
+        if (percent < 100) {
+            double allowed = spec.cores() * percent / 100.0;
+            use =
+                    new Resources(
+                            Math.min(allowed, use.cores()),
+                            use.memoryMib(),
+                            use.accelerators(),
+                            use.slots());
+        }
+        long ranMillis = report.map(TaskReport::runMillis).orElse(0L);
+        return new RunningJob(
+                stored,
+                use,
+                tracker.unsavedMillis(task),
+                Math.max(0, estimator.runMillis(spec) - ranMillis),
+                percent);
+    }
+
+    /** All declared workers, as far as the configuration tells. */
+    public static List<WorkerView> workers(ConfigSnapshot config) {
+        return workers(config, worker -> false);
+    }
+
+    private static List<WorkerView> workers(
+            ConfigSnapshot config, Function<WorkerId, Boolean> blocked) {
+        List<WorkerView> views = new ArrayList<>();
+        config.all(Kind.WORKERS)
+                .forEach(
+                        (name, versioned) -> {
+                            WorkerSpec spec = (WorkerSpec) versioned.spec();
+                            WorkerId worker = new WorkerId(name);
+                            Optional<AssignmentSpec> assigned = config.assignment(worker);
+                            WorkerPhase phase =
+                                    assigned.map(AssignmentSpec::phase).orElse(WorkerPhase.ACTIVE);
+                            String pool =
+                                    assigned.map(AssignmentSpec::pool).orElse(spec.pool()).value();
+                            boolean leaving = spec.drain() || phase == WorkerPhase.DRAINING;
+                            boolean accepts =
+                                    !leaving
+                                            && phase == WorkerPhase.ACTIVE
+                                            && !blocked.apply(worker);
+                            views.add(
+                                    new WorkerView(worker, pool, capacity(spec), accepts, leaving));
+                        });
+        return views;
+    }
+
+    private static List<TeamView> teams(ConfigSnapshot config, Map<TeamId, LimitRow> limits) {
+        List<TeamView> views = new ArrayList<>();
+        config.all(Kind.TEAMS)
+                .forEach(
+                        (name, versioned) -> {
+                            TeamSpec spec = (TeamSpec) versioned.spec();
+                            TeamId team = new TeamId(name);
+                            LimitRow limit =
+                                    limits.getOrDefault(
+                                            team, new LimitRow(spec.upperLimit(), Map.of()));
+                            int held = limit.block(LimitRow.JOBS).granted();
+                            views.add(
+                                    new TeamView(
+                                            team, spec.share(), held + limit.free(), limit.free()));
+                        });
+        return views;
+    }
+
+    private static Resources capacity(WorkerSpec spec) {
+        return new Resources(spec.cores(), spec.memoryMib(), spec.accelerators(), spec.slots());
+    }
+
+    private void record(JobId job, int attempt, WorkerId worker, boolean succeeded, String reason) {
+        // A job's attempts follow each other, so that the highest number tells all.
+        if (recorded.getOrDefault(job, 0) < attempt) {
+            recorded.put(job, attempt);
+            attribution.record(job, worker, succeeded, reason);
+        }
+    }
+}
--- a/core/src/main/java/org/quetzalscale/core/job/JobCodecs.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobCodecs.java
@@ -7,11 +7,15 @@
 
 /** How the rows that concern jobs are stored as text. */
 public record JobCodecs(
-        RowCodec<JobRow> job, RowCodec<LimitRow> limit, RowCodec<LedgerEntry> ledger) {
+        RowCodec<JobRow> job,
+        RowCodec<LimitRow> limit,
+        RowCodec<LedgerEntry> ledger,
+        RowCodec<WorkerFault> workerFault) {
     /** Requires all codecs. */
     public JobCodecs {
         Objects.requireNonNull(job, "job");
         Objects.requireNonNull(limit, "limit");
         Objects.requireNonNull(ledger, "ledger");
+        Objects.requireNonNull(workerFault, "workerFault");
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
@@ -0,0 +1,417 @@
+package org.quetzalscale.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.quetzalscale.core.config.ConfigSource;
+import org.quetzalscale.core.fleet.TaskReport;
+import org.quetzalscale.core.fleet.TaskRunner;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.TaskId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.limit.Block;
+import org.quetzalscale.core.limit.LimitRow;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.share.ShareMeter;
+import org.quetzalscale.core.time.TimeSource;
+
+/**
+ * Brings jobs from submission to their end while this instance holds the lease {@code jobs}. Each
+ * tick starts from the rows, so that what an earlier tick, a former holder or a lost answer left
+ * behind is taken up: an attempt is granted by a row before its task is started, and recorded as
+ * ended only from the platform's report.
+ */
+public final class JobDriver {
+    private static final int JOBS_PER_TRANSACTION = 16;
+    private static final long DEMAND_MILLIS = 1_000;
+    private static final long EPOCH_CHECK_MILLIS = 1_000;
+
+    /** Time after which an attempt whose start was never answered goes to another worker. */
+    private static final long START_GIVE_UP_MILLIS = 10_000;
+
+    private final JobStore store;
+    private final ConfigSource config;
+    private final Supplier<Optional<Lease>> leases;
+    private final TimeSource time;
+    private final TimeSource wallTime;
+    private final TaskTracker tracker;
+    private final FleetObserver observer = new FleetObserver();
+    private final ShareMeter meter = new ShareMeter();
+    private final WriteBudget budget;
+    private final AtomicBoolean busy = new AtomicBoolean();
+    private final Map<TaskId, Long> grantedAtMillis = new HashMap<>();
+    private Set<WorkerId> knownFaults = Set.of();
+    private Lease lastLease;
+    private long epochCheckedAtMillis;
+    private long demandAtMillis;
+    private volatile Map<TeamId, Double> distances = Map.of();
+
+    /**
+     * A driver that has done nothing yet.
+     *
+     * @param leases the lease {@code jobs}, while this instance holds it
+     * @param time monotonic time
+     * @param wallTime wall-clock time, for ages and deadlines only
+     * @param writesPerSecond transactions per second that the driver may commit
+     */
+    public JobDriver(
+            JobStore store,
+            TaskRunner runner,
+            ConfigSource config,
+            Supplier<Optional<Lease>> leases,
+            TimeSource time,
+            TimeSource wallTime,
+            int writesPerSecond) {
+        this.store = store;
+        this.config = config;
+        this.leases = leases;
+        this.time = time;
+        this.wallTime = wallTime;
+        this.tracker = new TaskTracker(runner);
+        this.budget = new WriteBudget(writesPerSecond, writesPerSecond, time.nowMillis());
+    }
+
+    /** Distance of each team from its share since this instance started, 0 to 1. */
+    public Map<TeamId, Double> shareDistances() {
+        return distances;
+    }
+
+    /**
+     * Does what is due; a call while the former one is not done does nothing. The stage fails if
+     * the store did; the next call takes up from the rows.
+     */
+    public CompletionStage<Void> tick() {
+        if (!busy.compareAndSet(false, true)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletionStage<Void> done;
+        try {
+            done = run();
+        } catch (RuntimeException e) {
+            done = CompletableFuture.failedFuture(e);
+        }
+        return done.whenComplete((nothing, thrown) -> busy.set(false));
+    }
+
+    private CompletionStage<Void> run() {
+        tracker.collect();
+        Optional<Lease> lease = leases.get();
+        if (lease.isEmpty()) {
+            return renewUntilTakenOver();
+        }
+        tracker.renewDue(time.nowMillis());
+        boolean adopting = !lease.get().equals(lastLease);
+        lastLease = lease.get();
+        return store.open()
+                .thenCombine(store.limits(), (jobs, limits) -> new Tick(lastLease, jobs, limits))
+                .thenCombine(store.workerFaults(), Tick::withFaults)
+                .thenCompose(
+                        tick -> {
+                            if (adopting) {
+                                tracker.clear();
+                                observer.adopt(tick.jobs());
+                            }
+                            tracker.track(tick.jobs());
+                            return finishEnded(tick);
+                        })
+                .thenCompose(this::setAsideWorkers)
+                .thenCompose(this::schedule)
+                .thenCompose(this::writeDemand)
+                .thenAccept(
+                        tick -> {
+                            tracker.track(tick.jobs());
+                            tracker.drive(time.nowMillis());
+                            forget(tick);
+                        });
+    }
+
+    /**
+     * An outage of the store ends the lease on decisions, but not what runs; tasks are renewed
+     * until the store shows another holder, who renews them then.
+     */
+    private CompletionStage<Void> renewUntilTakenOver() {
+        long now = time.nowMillis();
+        if (lastLease == null || tracker.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        tracker.renewDue(now);
+        if (now - epochCheckedAtMillis < EPOCH_CHECK_MILLIS) {
+            return CompletableFuture.completedFuture(null);
+        }
+        epochCheckedAtMillis = now;
+        return store.isCurrent(lastLease)
+                .thenAccept(
+                        current -> {
+                            if (!current) {
+                                tracker.clear();
+                                lastLease = null;
+                            }
+                        });
+    }
+
+    private CompletionStage<Tick> finishEnded(Tick tick) {
+        List<JobChange> changes = new ArrayList<>();
+        Map<JobId, TaskReport> reports = new HashMap<>();
+        for (StoredJob stored : tick.jobs()) {
+            JobRow job = stored.job();
+            if (!job.state().holdsUnits()) {
+                continue;
+            }
+            Optional<TaskReport> report = tracker.report(job.task());
+            if (report.isPresent() && report.get().state().ended()) {
+                reports.put(job.id(), report.get());
+                changes.add(FinishRule.apply(stored, report.get(), observer.attribution()));
+            } else if (report.isPresent()
+                    && !report.get().checkpoint().isEmpty()
+                    && !report.get().checkpoint().equals(job.checkpoint())) {
+                changes.add(JobChange.renew(stored, report.get()));
+            }
+        }
+        return commitAll(tick, changes)
+                .thenApply(
+                        written -> {
+                            for (JobChange change : written) {
+                                JobRow before = change.before().job();
+                                TaskReport report = reports.get(before.id());
+                                if (report != null) {
+                                    observer.learn(before, report, time.nowMillis());
+                                }
+                            }
+                            return tick;
+                        });
+    }
+
+    private CompletionStage<Tick> setAsideWorkers(Tick tick) {
+        CompletionStage<Tick> stage = CompletableFuture.completedFuture(tick);
+        for (WorkerId worker : knownFaults) {
+            if (!tick.faults().containsKey(worker)) {
+                observer.attribution().clear(worker);
+            }
+        }
+        knownFaults = Set.copyOf(tick.faults().keySet());
+        for (WorkerId worker : observer.attribution().suspects()) {
+            Optional<String> reason = observer.attribution().workerFault(worker);
+            if (reason.isEmpty() || tick.faults().containsKey(worker)) {
+                continue;
+            }
+            WorkerFault fault = new WorkerFault(worker, reason.get());
+            stage =
+                    stage.thenCombine(
+                            store.setAside(tick.lease(), fault),
+                            (same, done) -> {
+                                same.faults().put(worker, fault.reason());
+                                knownFaults = Set.copyOf(same.faults().keySet());
+                                return same;
+                            });
+        }
+        return stage;
+    }
+
+    private CompletionStage<Tick> schedule(Tick tick) {
+        if (!config.isValid()) {
+            return CompletableFuture.completedFuture(tick);
+        }
+        long now = time.nowMillis();
+        List<JobChange> changes = new ArrayList<>();
+        Set<JobId> changed = new HashSet<>();
+        for (StoredJob stored : tick.jobs()) {
+            endOrMove(stored, now)
+                    .ifPresent(
+                            change -> {
+                                changes.add(change);
+                                changed.add(stored.job().id());
+                            });
+        }
+        List<StoredJob> rest =
+                tick.jobs().stream().filter(job -> !changed.contains(job.job().id())).toList();
+        JobPlan plan =
+                JobScheduler.plan(
+                        observer.view(
+                                config.snapshot(),
+                                rest,
+                                tick.limits(),
+                                tick.faults().keySet(),
+                                tracker,
+                                now,
+                                wallTime.nowMillis()));
+        measure(plan, now);
+        Set<WorkerId> probed = new HashSet<>();
+        for (JobPlan.Start start : plan.starts()) {
+            boolean probation = observer.attribution().isOnProbation(start.worker());
+            if (!probation || probed.add(start.worker())) {
+                changes.add(JobChange.start(start.job().stored(), start.worker()));
+            }
+        }
+        for (JobPlan.Stop stop : plan.stops()) {
+            changes.add(JobChange.stop(stop.job().stored(), stop.reason()));
+            if (!stop.checkpointFirst()) {
+                tracker.dropUnsaved(stop.job().stored().job().task());
+            }
+        }
+        for (JobPlan.Throttle throttle : plan.throttles()) {
+            tracker.throttle(throttle.job().stored().job().task(), throttle.percent(), now);
+        }
+        return commitAll(tick, changes).thenApply(written -> tick);
+    }
+
+    /** Ends a waiting job that can not run, and moves an attempt that could not be started. */
+    private Optional<JobChange> endOrMove(StoredJob stored, long nowMillis) {
+        JobRow job = stored.job();
+        if (job.state() == JobState.QUEUED) {
+            return FleetObserver.neverFits(job.spec(), config.snapshot())
+                    .or(() -> observer.attribution().jobFault(job.id()))
+                    .map(reason -> JobChange.end(stored, JobState.SET_ASIDE, reason));
+        }
+        if (job.state() == JobState.RUNNING && tracker.report(job.task()).isEmpty()) {
+            long granted = grantedAtMillis.computeIfAbsent(job.task(), task -> nowMillis);
+            if (nowMillis - granted >= START_GIVE_UP_MILLIS) {
+                return Optional.of(
+                        JobChange.stop(stored, "worker " + job.worker() + " did not start it"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void measure(JobPlan plan, long nowMillis) {
+        Resources fleet = Resources.NONE;
+        for (WorkerView worker : FleetObserver.workers(config.snapshot())) {
+            fleet = fleet.plus(worker.capacity());
+        }
+        meter.observe(nowMillis, fleet, plan.entitled(), plan.used());
+        distances = meter.distances();
+    }
+
+    private CompletionStage<Tick> writeDemand(Tick tick) {
+        long now = time.nowMillis();
+        if (now - demandAtMillis < DEMAND_MILLIS) {
+            return CompletableFuture.completedFuture(tick);
+        }
+        demandAtMillis = now;
+        Map<TeamId, Integer> wanted = new TreeMap<>();
+        tick.limits().keySet().forEach(team -> wanted.put(team, 0));
+        for (StoredJob stored : tick.jobs()) {
+            JobSpec spec = stored.job().spec();
+            wanted.computeIfPresent(spec.team(), (team, units) -> units + spec.slots());
+        }
+        wanted.replaceAll((team, units) -> Math.min(units, tick.limits().get(team).limit()));
+        wanted.entrySet()
+                .removeIf(
+                        entry ->
+                                tick.limits().get(entry.getKey()).block(LimitRow.JOBS).wanted()
+                                        == entry.getValue());
+        if (wanted.isEmpty() || !budget.tryTake(now)) {
+            return CompletableFuture.completedFuture(tick);
+        }
+        return store.demand(tick.lease(), wanted).thenApply(done -> tick);
+    }
+
+    /** Commits in batches; a batch that conflicts is committed one by one. */
+    private CompletionStage<List<JobChange>> commitAll(Tick tick, List<JobChange> changes) {
+        CompletionStage<List<JobChange>> stage =
+                CompletableFuture.completedFuture(new ArrayList<>());
+        for (int from = 0; from < changes.size(); from += JOBS_PER_TRANSACTION) {
+            List<JobChange> batch =
+                    changes.subList(from, Math.min(changes.size(), from + JOBS_PER_TRANSACTION));
+            stage = stage.thenCompose(written -> commit(tick, batch, written));
+        }
+        return stage;
+    }
+
+    private CompletionStage<List<JobChange>> commit(
+            Tick tick, List<JobChange> batch, List<JobChange> written) {
+        if (!budget.tryTake(time.nowMillis())) {
+            return CompletableFuture.completedFuture(written);
+        }
+        return store.commit(tick.lease(), batch, this::declaredLimit)
+                .thenCompose(
+                        stored -> {
+                            if (stored.isPresent()) {
+                                tick.replace(stored.get());
+                                batch.forEach(tick::returnUnits);
+                                written.addAll(batch);
+                            } else if (batch.size() > 1) {
+                                return commitSingly(tick, batch, written);
+                            }
+                            return CompletableFuture.completedFuture(written);
+                        });
+    }
+
+    private CompletionStage<List<JobChange>> commitSingly(
+            Tick tick, List<JobChange> batch, List<JobChange> written) {
+        CompletionStage<List<JobChange>> stage = CompletableFuture.completedFuture(written);
+        for (JobChange change : batch) {
+            stage = stage.thenCompose(sofar -> commit(tick, List.of(change), sofar));
+        }
+        return stage;
+    }
+
+    private int declaredLimit(TeamId team) {
+        return config.snapshot().team(team).map(spec -> spec.upperLimit()).orElse(0);
+    }
+
+    private void forget(Tick tick) {
+        Set<JobId> open = new HashSet<>();
+        Set<TaskId> present = new HashSet<>();
+        for (StoredJob stored : tick.jobs()) {
+            open.add(stored.job().id());
+            present.add(stored.job().task());
+        }
+        observer.retain(open);
+        grantedAtMillis.keySet().retainAll(present);
+    }
+
+    /** The rows that a tick works on, kept up to date with what it commits. */
+    private record Tick(
+            Lease lease,
+            Map<JobId, StoredJob> byId,
+            Map<TeamId, LimitRow> limits,
+            Map<WorkerId, String> faults) {
+        private Tick(Lease lease, List<StoredJob> jobs, Map<TeamId, LimitRow> limits) {
+            this(lease, new LinkedHashMap<>(), limits, new TreeMap<>());
+            jobs.forEach(job -> byId.put(job.job().id(), job));
+        }
+
+        private Tick withFaults(Map<WorkerId, String> present) {
+            return new Tick(lease, byId, limits, new TreeMap<>(present));
+        }
+
+        private List<StoredJob> jobs() {
+            return List.copyOf(byId.values());
+        }
+
+        private void returnUnits(JobChange change) {
+            if (change.units() < 0) {
+                limits.computeIfPresent(
+                        change.after().spec().team(),
+                        (team, limit) -> {
+                            Block block = limit.block(LimitRow.JOBS);
+                            int granted = Math.max(0, block.granted() + change.units());
+                            return limit.with(LimitRow.JOBS, new Block(granted, block.wanted()));
+                        });
+            }
+        }
+
+        private void replace(Collection<StoredJob> written) {
+            for (StoredJob stored : written) {
+                if (stored.job().state().ended()) {
+                    byId.remove(stored.job().id());
+                } else {
+                    byId.put(stored.job().id(), stored);
+                }
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/quetzalscale/core/job/JobSpec.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobSpec.java
@@ -42,7 +42,11 @@
     private static final int MAX_FAILURES = 16;
     private static final long MAX_RUN_MILLIS = 30L * 24 * 3_600 * 1_000;
 
-    /** Checks the ranges; throws INVALID_FIELD with the field and its value. */
+    /**
+     * Checks the ranges.
+     *
+     * @throws QuetzalscaleException INVALID_FIELD with the field's name in requests and its value
+     */
     public JobSpec {
         Objects.requireNonNull(team, "team");
         if (pool == null || !pool.isEmpty()) {
@@ -62,9 +66,9 @@
         requireRange("memoryMib", memoryMib, 0, MAX_MEMORY_MIB);
         requireRange("accelerators", accelerators, 0, MAX_COUNT);
         requireRange("slots", slots, 1, MAX_COUNT);
-        requireRange("expectedRunMillis", expectedRunMillis, 1, MAX_RUN_MILLIS);
+        requireRange("expectedRunMs", expectedRunMillis, 1, MAX_RUN_MILLIS);
         requireRange("priority", priority, -MAX_PRIORITY, MAX_PRIORITY);
-        requireRange("deadlineMillis", deadlineMillis, 0, Long.MAX_VALUE);
+        requireRange("deadlineMs", deadlineMillis, 0, Long.MAX_VALUE);
         requireRange("maxFailures", maxFailures, 1, MAX_FAILURES);
     }
 
--- a/core/src/main/java/org/quetzalscale/core/job/JobStore.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobStore.java
@@ -13,11 +13,13 @@
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.limit.Block;
 import org.quetzalscale.core.limit.LimitRow;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
+import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
@@ -132,6 +134,80 @@
                         });
     }
 
+    /** Workers that are set aside, each with the reason. */
+    public CompletionStage<Map<WorkerId, String>> workerFaults() {
+        return table.scan(WorkerFault.PREFIX)
+                .thenApply(
+                        rows -> {
+                            Map<WorkerId, String> faults = new TreeMap<>();
+                            for (Row row : rows) {
+                                WorkerFault fault = codecs.workerFault().decode(row.value());
+                                faults.put(fault.worker(), fault.reason());
+                            }
+                            return faults;
+                        });
+    }
+
+    /** Sets a worker aside until {@link #clearWorker}; false if the lease was lost. */
+    public CompletionStage<Boolean> setAside(Lease lease, WorkerFault fault) {
+        return table.commit(
+                        Transaction.builder()
+                                .require(lease.fence())
+                                .put(faultKey(fault.worker()), codecs.workerFault().encode(fault))
+                                .build())
+                .thenApply(CommitResult::isCommitted);
+    }
+
+    /** Gives a worker jobs again, by decision of an operator. */
+    public CompletionStage<Void> clearWorker(WorkerId worker) {
+        Mutation deletion = Mutation.delete(faultKey(worker));
+        return table.commit(new Transaction(List.of(), List.of(deletion)))
+                .thenApply(result -> null);
+    }
+
+    /**
+     * Writes how many units the jobs of teams would use, so that instances return free units.
+     *
+     * @param wanted units by team, what its running jobs hold included
+     * @return false if nothing changed because the lease or a row did
+     */
+    public CompletionStage<Boolean> demand(Lease lease, Map<TeamId, Integer> wanted) {
+        return readLimits(List.copyOf(wanted.keySet()))
+                .thenCompose(
+                        rows -> {
+                            Transaction.Builder transaction =
+                                    Transaction.builder().require(lease.fence());
+                            rows.forEach(
+                                    (team, row) ->
+                                            row.ifPresent(
+                                                    present ->
+                                                            addDemand(
+                                                                    transaction,
+                                                                    present,
+                                                                    wanted.get(team))));
+                            return table.commit(transaction.build());
+                        })
+                .thenApply(CommitResult::isCommitted);
+    }
+
+    /** Whether a lease has not been taken over by another instance. */
+    public CompletionStage<Boolean> isCurrent(Lease lease) {
+        return table.read(lease.fence().key())
+                .thenApply(
+                        row -> row.isPresent() && row.get().version() == lease.fence().version());
+    }
+
+    private void addDemand(Transaction.Builder transaction, Row row, int wanted) {
+        LimitRow limit = codecs.limit().decode(row.value());
+        Block block = limit.block(LimitRow.JOBS);
+        LimitRow changed = limit.with(LimitRow.JOBS, new Block(block.granted(), wanted));
+        transaction.replace(row, codecs.limit().encode(changed));
+    }
+
+    private static RowKey faultKey(WorkerId worker) {
+        return new RowKey(WorkerFault.PREFIX + worker.value());
+    }
+
     private CompletionStage<JobRow> submit(JobRow job, int triesLeft) {
         RowKey key = JobKeys.open(job.id());
         Transaction transaction =
--- a/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
@@ -29,7 +29,11 @@
 
     private final InMemoryTable table = new InMemoryTable();
     private final JobCodecs codecs =
-            new JobCodecs(new MemoryCodec<>(), new MemoryCodec<>(), new MemoryCodec<>());
+            new JobCodecs(
+                    new MemoryCodec<>(),
+                    new MemoryCodec<>(),
+                    new MemoryCodec<>(),
+                    new MemoryCodec<>());
     private final JobStore store = new JobStore(table, codecs);
     private Lease lease = takeLease();
 
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobHandlers.java
@@ -0,0 +1,143 @@
+package org.quetzalscale.daemon.job;
+
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.job.JobKeys;
+import org.quetzalscale.core.job.JobRow;
+import org.quetzalscale.core.job.JobStore;
+import org.quetzalscale.core.time.TimeSource;
+import org.quetzalscale.net.http.HttpReply;
+
+/**
+ * Answers submitters. The team has been authenticated; failures of the returned stages are {@link
+ * QuetzalscaleException}s, which the server turns into error answers.
+ */
+public final class JobHandlers {
+    /** Longest time that a look-up waits for the end of a job, in milliseconds. */
+    public static final long MAX_WAIT_MILLIS = 60_000;
+
+    private static final long POLL_MILLIS = 250;
+    private static final int ID_BYTES = 16;
+    private static final int CREATED = 201;
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+
+    private final JobStore store;
+    private final TimeSource time;
+    private final TimeSource wallTime;
+    private final SecureRandom random = new SecureRandom();
+
+    /**
+     * Handlers over a store.
+     *
+     * @param time monotonic time, for waits
+     * @param wallTime wall-clock time, which orders submissions
+     */
+    public JobHandlers(JobStore store, TimeSource time, TimeSource wallTime) {
+        this.store = store;
+        this.time = time;
+        this.wallTime = wallTime;
+    }
+
+    /** Answers {@code POST /v1/jobs} once the job is durable. */
+    public CompletionStage<HttpReply> submit(TeamId team, byte[] body) {
+        JobRequest request;
+        try {
+            request = JobRequest.read(team, body);
+        } catch (QuetzalscaleException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        JobId id =
+                request.submissionKey()
+                        .map(key -> JobKeys.derivedId(team, key))
+                        .orElseGet(this::randomId);
+        return store.submit(id, request.spec(), wallTime.nowMillis())
+                .thenApply(job -> HttpReply.json(CREATED, JobAnswer.of(job)));
+    }
+
+    /**
+     * Answers {@code GET /v1/jobs/<id>?waitMs=n}.
+     *
+     * @param waitMs time to wait for the end of the job, in milliseconds, or empty text for none
+     */
+    public CompletionStage<HttpReply> find(TeamId team, String id, String waitMs) {
+        try {
+            long untilMillis = time.nowMillis() + waitMillis(waitMs);
+            return find(team, jobId(id), untilMillis)
+                    .thenApply(job -> HttpReply.json(OK, JobAnswer.of(job)));
+        } catch (QuetzalscaleException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /**
+     * Answers {@code DELETE /v1/jobs/<id>}: 200 if the job has ended, 202 if it is stopped soon.
+     */
+    public CompletionStage<HttpReply> cancel(TeamId team, String id) {
+        try {
+            return store.cancel(team, jobId(id))
+                    .thenApply(
+                            job ->
+                                    HttpReply.json(
+                                            job.state().ended() ? OK : ACCEPTED,
+                                            JobAnswer.of(job)));
+        } catch (QuetzalscaleException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private CompletionStage<JobRow> find(TeamId team, JobId id, long untilMillis) {
+        return store.find(team, id)
+                .thenCompose(
+                        job -> {
+                            long leftMillis = untilMillis - time.nowMillis();
+                            if (job.state().ended() || leftMillis <= 0) {
+                                return CompletableFuture.completedFuture(job);
+                            }
+                            Executor later =
+                                    CompletableFuture.delayedExecutor(
+                                            Math.min(POLL_MILLIS, leftMillis),
+                                            TimeUnit.MILLISECONDS);
+                            return CompletableFuture.runAsync(() -> {}, later)
+                                    .thenCompose(nothing -> find(team, id, untilMillis));
+                        });
+    }
+
+    private static long waitMillis(String waitMs) {
+        if (waitMs.isEmpty()) {
+            return 0;
+        }
+        if (waitMs.matches("\\d{1,6}") && Long.parseLong(waitMs) <= MAX_WAIT_MILLIS) {
+            return Long.parseLong(waitMs);
+        }
+        throw new QuetzalscaleException(
+                ErrorKind.INVALID_FIELD,
+                "waitMs",
+                "waitMs has the value "
+                        + waitMs
+                        + ": expected a whole number from 0 to "
+                        + MAX_WAIT_MILLIS);
+    }
+
+    private static JobId jobId(String id) {
+        try {
+            return new JobId(id);
+        } catch (QuetzalscaleException e) {
+            throw new QuetzalscaleException(ErrorKind.JOB_UNKNOWN, "there is no job " + id);
+        }
+    }
+
+    private JobId randomId() {
+        byte[] bytes = new byte[ID_BYTES];
+        random.nextBytes(bytes);
+        return new JobId("j" + HexFormat.of().formatHex(bytes));
+    }
+}
