--- a/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
@@ -6,9 +6,17 @@
 public final class QuetzalscaleDaemon {
     private QuetzalscaleDaemon() {}
 
-    /** Runs the program. */
+    /** Runs the program until it is told to stop. */
     public static void main(String[] args) {
         Startup startup = Startup.of(args, System.getenv(), System.out, System.err);
-        System.exit(startup.exitCode());
+        if (startup.settings() == null) {
+            System.exit(startup.exitCode());
+        }
+        Daemon daemon = new Daemon(startup.settings());
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+        daemon.start();
+        System.out.println("listening caller " + daemon.callerPort());
+        System.out.println("listening operator " + daemon.operatorPort());
+        System.out.flush();
     }
 }
