--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/limit/TeamUnits.java
@@ -0,0 +1,21 @@
+package org.quetzalscale.core.limit;
+
+import org.quetzalscale.core.id.TeamId;
+
+/** The units of teams' upper limits that this instance may run. Safe for several threads. */
+public interface TeamUnits {
+    /** Takes a unit for one running request; false if this instance has none left. */
+    boolean tryAcquire(TeamId team);
+
+    /** Gives a unit back that {@link #tryAcquire} took. */
+    void release(TeamId team);
+
+    /**
+     * Whether the team runs its whole limit across the fleet, as far as this instance knows. False
+     * if it knows nothing of the team yet.
+     */
+    boolean isUsedUp(TeamId team);
+
+    /** Tells how many requests of the team wait here for a unit. */
+    void waiting(TeamId team, int count);
+}
