--- a/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
+++ b/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.standin.load.LoadCommand;
 import org.quetzalscale.standin.platform.PlatformCommand;
 import org.quetzalscale.standin.target.TargetCommand;
@@ -28,6 +29,11 @@
             System.exit(USAGE_EXIT_CODE);
             return;
         }
-        command.run();
+        try {
+            command.run();
+        } catch (QuetzalscaleException | IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_EXIT_CODE);
+        }
     }
 }
--- a/standin/src/main/java/org/quetzalscale/standin/target/TargetConnection.java
+++ b/standin/src/main/java/org/quetzalscale/standin/target/TargetConnection.java
@@ -1,6 +1,5 @@
 package org.quetzalscale.standin.target;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -240,12 +239,12 @@
         while (exchange.remainingBytes() > stopAtBytes && context.channel().isWritable()) {
             int bytes = (int) Math.min(CHUNK_BYTES, exchange.remainingBytes() - stopAtBytes);
             long offset = exchange.plan().sizeBytes() - exchange.remainingBytes();
-            ByteBuf chunk = context.alloc().buffer(bytes);
+            byte[] chunk = new byte[bytes];
             for (int i = 0; i < bytes; i++) {
-                chunk.writeByte(line[(int) ((offset + i) % line.length)]);
+                chunk[i] = line[(int) ((offset + i) % line.length)];
             }
             exchange.wrote(bytes);
-            send(context, new DefaultHttpContent(chunk));
+            send(context, new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)));
         }
         if (exchange.remainingBytes() > stopAtBytes) {
             return;
