--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -150,6 +150,8 @@
 
     /** Ends the connection within the answer, so that the caller sees that it is not whole. */
     void cut() {
+        // Without its head, the caller could take the request for one that was never answered.
+        context.flush();
         close();
     }
 
@@ -177,7 +179,7 @@
                     new QuetzalscaleException(
                             ErrorKind.QUEUE_FULL,
                             "this instance has as many connections as permitted"),
-                    "");
+                    RequestParser.newRequestId());
             return;
         }
         startTimer(shared.limits().idleMillis());
@@ -385,7 +387,7 @@
             refuse(
                     new QuetzalscaleException(
                             ErrorKind.REQUEST_TIMEOUT, "the head of the request came too slowly"),
-                    "");
+                    RequestParser.newRequestId());
             return;
         }
         close();
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -48,6 +48,8 @@
     private final EventLoop loop;
     private final KeptBytes kept;
     private final IntentHold intent;
+    // Null for a request without an idempotency key.
+    private final Fingerprint fingerprint;
     private Phase phase = Phase.BODY;
     private boolean bodyWhole;
     // False once a part of the body went to a target without being kept.
@@ -76,6 +78,7 @@
         this.loop = loop;
         this.kept = new KeptBytes(connection.allocator(), context.budget());
         this.intent = new IntentHold(context.intents(), loop);
+        this.fingerprint = request.isKeyed() ? new Fingerprint(request) : null;
     }
 
     /** Begins; the connection delivers the body as it is asked for. */
@@ -106,6 +109,9 @@
         }
         boolean last = part instanceof LastHttpContent;
         boolean withinBudget = kept.append(part.content());
+        if (fingerprint != null) {
+            fingerprint.add(part.content());
+        }
         part.release();
         if (request.isKeyed() && kept.size() > context.limits().keyedBodyBytes()) {
             fail(
@@ -161,7 +167,7 @@
 
     private void begin() {
         phase = Phase.INTENT;
-        intent.begin(request, kept.view(), remainingMillis(), this::intentFound);
+        intent.begin(request, fingerprint.finish(), remainingMillis(), this::intentFound);
     }
 
     private void intentFound(IntentResult result, Throwable failure) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/HeadCheck.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/HeadCheck.java
@@ -49,10 +49,6 @@
             throw malformed("the request does not have exactly one Host header");
         }
         requireOneLength(headers);
-        if (headers.contains(HttpHeaderNames.UPGRADE)
-                && headers.containsValue(HttpHeaderNames.CONNECTION, "upgrade", true)) {
-            throw malformed("a change of protocol is not supported");
-        }
     }
 
     private static void requireDecoded(HttpRequest request) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/IntentHold.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/IntentHold.java
@@ -1,6 +1,5 @@
 package org.quetzalscale.daemon.caller;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -25,13 +24,13 @@
     /** Inserts or finds the intent, then calls back with the result or the failure. */
     void begin(
             CallerRequest request,
-            ByteBuf body,
+            String fingerprint,
             long waitMillis,
             BiConsumer<IntentResult, Throwable> found) {
         intents.begin(
                         request.team().orElseThrow(),
                         request.idempotencyKey().orElseThrow(),
-                        Fingerprint.of(request, body),
+                        fingerprint,
                         waitMillis)
                 .whenComplete(
                         (result, failure) ->
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/KeptBytes.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/KeptBytes.java
@@ -54,10 +54,6 @@
         return ByteBufUtil.getBytes(bytes);
     }
 
-    ByteBuf view() {
-        return bytes;
-    }
-
     /** Gives the memory back; shared views stay valid until their receivers release them. */
     void release() {
         bytes.release();
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
@@ -37,6 +37,10 @@
         if (given.size() == 1 && REQUEST_ID.matcher(given.get(0)).matches()) {
             return given.get(0);
         }
+        return newRequestId();
+    }
+
+    static String newRequestId() {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return String.format("%016x%016x", random.nextLong(), random.nextLong());
     }
