Serve a team's own calls on the caller port

Cause: the caller port also takes jobs under /v1/, whose handlers expect an authenticated team, and the server knew queues only.

Ruled out: a second HTTP server for jobs, which would need the key check and the limits again.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -37,6 +38,8 @@
     private static final int LINGER_MILLIS = 1_000;
     private static final int MAX_LINGER_BYTES = 1 << 20;
 
+    private static final String TEAM_CALLS = "/v1/";
+
     private enum State {
         WAITING,
         SERVING,
@@ -54,7 +57,7 @@
     private ReadLoop reads;
     private BatchWriter writer;
     private State state = State.WAITING;
-    private Exchange exchange;
+    private CallerTask task;
     private HttpRequest next;
     private ScheduledFuture<?> timer;
     private boolean headArriving;
@@ -133,7 +136,14 @@
             cut();
             return;
         }
-        HttpReply reply = HttpReply.error(error, requestId);
+        answer(HttpReply.error(error, requestId), requestId);
+    }
+
+    /** Answers with a small body. */
+    void answer(HttpReply reply, String requestId) {
+        if (state == State.CLOSED) {
+            return;
+        }
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -210,8 +220,8 @@
         if (blocked) {
             blocked = false;
             proceed();
-        } else if (exchange != null) {
-            exchange.callerWritable();
+        } else if (task != null) {
+            task.callerWritable();
         }
     }
 
@@ -239,18 +249,18 @@
             return;
         }
         HttpContent content = (HttpContent) message;
-        if (state != State.SERVING || exchange == null) {
+        if (state != State.SERVING || task == null) {
             content.release();
             return;
         }
         if (content.decoderResult().isFailure()) {
             content.release();
             closeAfterAnswer = true;
-            exchange.bodyMalformed(content.decoderResult().cause().getMessage());
+            task.bodyMalformed(content.decoderResult().cause().getMessage());
             return;
         }
         bodyEnded = content instanceof LastHttpContent;
-        exchange.body(content);
+        task.body(content);
         if (bodyEnded && (state == State.SERVING || state == State.WAITING)) {
             // Notices that the caller leaves; a pipelined request is held until its turn.
             reads.read();
@@ -269,15 +279,22 @@
         closeAfterAnswer = !HttpUtil.isKeepAlive(request) || request.decoderResult().isFailure();
         encoder.expect(request.method().equals(HttpMethod.HEAD));
         String requestId = RequestParser.requestId(request);
-        CallerRequest parsed;
         try {
-            parsed = parser.parse(request, requestId);
+            task = taskOf(request, requestId);
         } catch (RuntimeException e) {
             refuse(QuetzalscaleException.from(e), requestId);
             return;
         }
-        exchange = new Exchange(shared, this, parsed, context.channel().eventLoop());
-        exchange.start();
+        task.start();
+    }
+
+    private CallerTask taskOf(HttpRequest request, String requestId) {
+        EventLoop loop = context.channel().eventLoop();
+        if (shared.teamHandler() != null && request.uri().startsWith(TEAM_CALLS)) {
+            VerifiedKey key = parser.parseTeamCall(request);
+            return new TeamCall(shared, this, request, requestId, key, loop);
+        }
+        return new Exchange(shared, this, parser.parse(request, requestId), loop);
     }
 
     private void refuse(QuetzalscaleException error, String requestId) {
@@ -296,7 +313,7 @@
     }
 
     private void endAnswer() {
-        exchange = null;
+        task = null;
         if (state != State.SERVING) {
             return;
         }
@@ -401,8 +418,8 @@
         stopTimer();
         next = null;
         context.close();
-        Exchange left = exchange;
-        exchange = null;
+        CallerTask left = task;
+        task = null;
         if (left != null) {
             left.callerGone();
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerContext.java
@@ -11,6 +11,7 @@
 /**
  * What the requests of one server share.
  *
+ * @param teamHandler answers the calls under {@code /v1/}; null if there are none
  * @param running requests whose work or whose record has not ended
  * @param draining whether answers announce the end of their connection
  */
@@ -22,6 +23,7 @@
         TargetClient targets,
         CallerLimits limits,
         RequestObserver observer,
+        TeamHandler teamHandler,
         BufferBudget budget,
         AtomicInteger running,
         BooleanSupplier draining) {}
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
@@ -56,7 +56,17 @@
             TimeSource time,
             TargetClient targets,
             CallerLimits limits) {
-        this(bindAddress, group, config, admission, intents, time, targets, limits, request -> {});
+        this(
+                bindAddress,
+                group,
+                config,
+                admission,
+                intents,
+                time,
+                targets,
+                limits,
+                request -> {},
+                null);
     }
 
     /**
@@ -64,6 +74,7 @@
      *
      * @param group event loops, owned by the caller
      * @param observer hears of each request that ended
+     * @param teamHandler answers the calls of teams under {@code /v1/}, or null for none
      */
     public CallerServer(
             InetSocketAddress bindAddress,
@@ -74,7 +85,8 @@
             TimeSource time,
             TargetClient targets,
             CallerLimits limits,
-            RequestObserver observer) {
+            RequestObserver observer,
+            TeamHandler teamHandler) {
         this.bindAddress = bindAddress;
         this.group = group;
         this.limits = limits;
@@ -87,6 +99,7 @@
                         targets,
                         limits,
                         observer,
+                        teamHandler,
                         new BufferBudget(limits.bufferBudgetBytes()),
                         running,
                         () -> draining);
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -28,7 +28,7 @@
  * <p>A body that can be kept is read whole before a worker is asked for, so that a slow caller
  * holds no place on a worker and the request can be sent again.
  */
-final class Exchange implements AttemptListener {
+final class Exchange implements CallerTask, AttemptListener {
     private enum Phase {
         BODY,
         INTENT,
@@ -81,8 +81,8 @@
         this.fingerprint = request.isKeyed() ? new Fingerprint(request) : null;
     }
 
-    /** Begins; the connection delivers the body as it is asked for. */
-    void start() {
+    @Override
+    public void start() {
         context.running().incrementAndGet();
         deadline = loop.schedule(this::deadlinePassed, remainingMillis(), TimeUnit.MILLISECONDS);
         if (request.isKeyed() && request.contentLength() > context.limits().keyedBodyBytes()) {
@@ -97,8 +97,8 @@
         }
     }
 
-    /** A part of the body, which is taken over. */
-    void body(HttpContent part) {
+    @Override
+    public void body(HttpContent part) {
         if (attempt != null) {
             attempt.sendBody(part);
             return;
@@ -129,20 +129,21 @@
         }
     }
 
-    /** The rest of the body can not be decoded. */
-    void bodyMalformed(String reason) {
+    @Override
+    public void bodyMalformed(String reason) {
         fail(AttemptOutcome.ABANDONED, RequestErrors.bodyMalformed(reason));
     }
 
-    /** The caller takes more bytes of the answer. */
-    void callerWritable() {
+    @Override
+    public void callerWritable() {
         if (phase == Phase.ANSWERING && attempt != null) {
             attempt.readAnswer();
         }
     }
 
-    /** The caller closed its connection. Work that a target has whole goes on to its end. */
-    void callerGone() {
+    /** Work that a target has whole goes on to its end, although its caller left. */
+    @Override
+    public void callerGone() {
         if (phase == Phase.ENDED) {
             return;
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
@@ -63,10 +63,7 @@
         }
         HttpHeaders headers = request.headers();
         Optional<VerifiedKey> key =
-                KeyVerifier.verify(
-                        snapshot,
-                        single(headers, HttpHeaderNames.AUTHORIZATION.toString()).orElse(null),
-                        spec.open());
+                KeyVerifier.verify(snapshot, authorization(headers), spec.open());
         Optional<String> idempotencyKey = idempotencyKey(headers, key.isPresent());
         long now = time.nowMillis();
         return new CallerRequest(
@@ -85,6 +82,18 @@
                 now + timeoutMillis(headers, spec));
     }
 
+    /**
+     * The key of a call that this process answers itself.
+     *
+     * @throws QuetzalscaleException with the run state NOT_RUN
+     */
+    VerifiedKey parseTeamCall(HttpRequest request) {
+        HeadCheck.requireWellFormed(request);
+        requireValid(config);
+        return KeyVerifier.verify(config.snapshot(), authorization(request.headers()), false)
+                .orElseThrow();
+    }
+
     /**
      * Requires that the configuration may be used for new work.
      *
@@ -98,6 +107,10 @@
         }
     }
 
+    private static String authorization(HttpHeaders headers) {
+        return single(headers, HttpHeaderNames.AUTHORIZATION.toString()).orElse(null);
+    }
+
     private static QueueId queueId(String name) {
         try {
             return new QueueId(name);
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
@@ -14,6 +14,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -32,6 +33,7 @@
 import org.quetzalscale.daemon.target.TargetClient;
 import org.quetzalscale.daemon.target.TargetLimits;
 import org.quetzalscale.net.EventLoops;
+import org.quetzalscale.net.http.HttpReply;
 
 /** A caller server with fakes behind it and scripted targets. */
 final class CallerFixture implements AutoCloseable {
@@ -68,7 +70,10 @@
                         time,
                         targets,
                         limits,
-                        ended::add);
+                        ended::add,
+                        (team, call) ->
+                                CompletableFuture.completedFuture(
+                                        HttpReply.json(202, team + call.path() + call.query())));
         server.start();
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/ForwardingTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/ForwardingTest.java
@@ -109,6 +109,19 @@
         }
     }
 
+    @Nested
+    class TeamCalls {
+        @Test
+        void areAnsweredHereForTheTeamOfTheKey() throws Exception {
+            RawCaller.Answer answer =
+                    fixture.call(CallerFixture.post("/v1/jobs/7?waitMs=5", "", "{}"));
+            assertThat(answer.status()).isEqualTo(202);
+            assertThat(answer.body()).isEqualTo("\"agro/v1/jobs/7{waitMs=[5]}\"");
+            assertThat(fixture.call("GET /v1/jobs/7 HTTP/1.1\r\nHost: x\r\n\r\n").body())
+                    .contains("key_missing");
+        }
+    }
+
     @Nested
     class Answers {
         @Test
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/RefusalTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/RefusalTest.java
@@ -7,16 +7,12 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 
 /** Requests that must not reach a target, each with its own error. */
 class RefusalTest {
-    private static final String GET = "GET /q/assay HTTP/1.1\\r\\nHost: x\\r\\n";
-    private static final String POST = "POST /q/assay HTTP/1.1\\r\\nHost: x\\r\\n";
-    private static final String KEY = "Authorization: Bearer qk_lab_s3cret_x\\r\\n";
-
     private final CallerFixture fixture = new CallerFixture(CallerFixture.LIMITS);
     private final ScriptedTarget target = fixture.answering(ScriptedTarget.OK);
 
@@ -36,86 +32,11 @@
     }
 
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            value = {
-                "key_missing | " + GET + "\\r\\n",
-                "key_unknown | " + GET + "Authorization: Bearer qk_lab_wrong\\r\\n\\r\\n",
-                "key_unknown | " + GET + "Authorization: Bearer qk_none_s3cret_x\\r\\n\\r\\n",
-                "key_unknown | " + GET + "Authorization: Basic YTpi\\r\\n\\r\\n",
-                "key_unknown | GET /q/open HTTP/1.1\\r\\nHost: x\\r\\n"
-                        + "Authorization: Bearer qk_lab_wrong\\r\\n\\r\\n",
-                "key_withdrawn | " + GET + "Authorization: Bearer qk_old_s3cret_x\\r\\n\\r\\n",
-                "key_missing | POST /q/open HTTP/1.1\\r\\nHost: x\\r\\nIdempotency-Key: a\\r\\n"
-                        + "Content-Length: 0\\r\\n\\r\\n",
-                "queue_unknown | GET /q/none/x HTTP/1.1\\r\\nHost: x\\r\\n" + KEY + "\\r\\n",
-                "queue_unknown | GET /q/ HTTP/1.1\\r\\nHost: x\\r\\n" + KEY + "\\r\\n",
-                "queue_unknown | GET / HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n",
-                "invalid_field | " + GET + KEY + "Quetzalscale-Timeout-Ms: 60001\\r\\n\\r\\n",
-                "invalid_field | " + GET + KEY + "Quetzalscale-Priority: first\\r\\n\\r\\n",
-                "invalid_field | " + GET + KEY + "Idempotency-Key: a b\\r\\n\\r\\n",
-                "malformed_request | " + GET + KEY + KEY + "\\r\\n",
-                "malformed_request | GET /q/assay HTTP/1.0\\r\\nHost: x\\r\\n" + KEY + "\\r\\n",
-                "malformed_request | GET /q/assay HTTP/1.1\\r\\n" + KEY + "\\r\\n",
-                "malformed_request | " + GET + "Host: y\\r\\n" + KEY + "\\r\\n",
-                "method_not_allowed | TRACE /q/assay HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n",
-                "malformed_request | hello\\r\\n\\r\\n",
-                "malformed_request | GET /q/assay/\\x01 HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n",
-                // Each of these lets two servers disagree on where the request ends.
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Content-Length: 1\\r\\n"
-                        + "Transfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Content-Length: 1\\r\\n"
-                        + "Content-Length: 2\\r\\n\\r\\nab",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Content-Length: 1\\r\\n"
-                        + "Content-Length: 1\\r\\n\\r\\na",
-                "malformed_request | " + POST + KEY + "Content-Length: 1, 1\\r\\n\\r\\na",
-                "malformed_request | " + POST + KEY + "Content-Length: +1\\r\\n\\r\\na",
-                "malformed_request | " + POST + KEY + "Content-Length: -1\\r\\n\\r\\na",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding: xchunked\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding: gzip, chunked\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding: chunked\\r\\n"
-                        + "Transfer-Encoding: identity\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding : chunked\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding:\\x0bchunked\\r\\n\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding: chunked\\r\\n\\r\\n0x1\\r\\na\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | "
-                        + POST
-                        + KEY
-                        + "Transfer-Encoding: chunked\\r\\n\\r\\n1\\na\\r\\n0\\r\\n\\r\\n",
-                "malformed_request | " + GET + KEY + "X-A: b\\nX-B: c\\r\\n\\r\\n",
-                "malformed_request | " + GET + KEY + "X-A: b\\rX-B: c\\r\\n\\r\\n",
-                "malformed_request | " + GET + KEY + "X-A: b\\n\\n",
-            })
+    @CsvFileSource(resources = "bad-requests.csv", delimiter = '|')
     void badRequestsGetTheirErrorAndReachNoTarget(String code, String request) throws IOException {
         String raw =
-                request.replace("\\r", "\r")
+                request.replace("$KEY", CallerFixture.KEY)
+                        .replace("\\r", "\r")
                         .replace("\\n", "\n")
                         .replace("\\x01", "\u0001")
                         .replace("\\x0b", "\u000b");
