Bound timers and copies of the request path and test sizes and budgets

An INTERNAL error is logged with its request identifier.

Ruled out: checking idle connections only when one is taken, which would keep those of a target that gets no more requests.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -27,6 +27,7 @@
 import org.quetzalscale.daemon.target.BatchWriter;
 import org.quetzalscale.daemon.target.ReadLoop;
 import org.quetzalscale.net.http.HttpReply;
+import org.tinylog.Logger;
 
 /**
  * A caller's connection. It serves one request at a time, so pipelined requests are answered in
@@ -136,6 +137,9 @@
             cut();
             return;
         }
+        if (error.kind() == ErrorKind.INTERNAL) {
+            Logger.error(error, "request {} failed", requestId);
+        }
         answer(HttpReply.error(error, requestId), requestId);
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -76,7 +76,8 @@
         this.connection = connection;
         this.request = request;
         this.loop = loop;
-        this.kept = new KeptBytes(connection.allocator(), context.budget());
+        this.kept =
+                new KeptBytes(connection.allocator(), context.budget(), request.contentLength());
         this.intent = new IntentHold(context.intents(), loop);
         this.fingerprint = request.isKeyed() ? new Fingerprint(request) : null;
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/KeptBytes.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/KeptBytes.java
@@ -12,17 +12,25 @@
  * came in.
  */
 final class KeptBytes {
-    private static final int INITIAL_BYTES = 1024;
+    private static final int MIN_BYTES = 1 << 10;
+    private static final int MAX_INITIAL_BYTES = 64 << 10;
 
     private final ByteBufAllocator allocator;
     private final BufferBudget budget;
+    private final int initialBytes;
     private ByteBuf bytes = Unpooled.EMPTY_BUFFER;
     private int countedBytes;
     private boolean withinBudget = true;
 
-    KeptBytes(ByteBufAllocator allocator, BufferBudget budget) {
+    /**
+     * Creates an empty copy, which takes memory only when the first part comes.
+     *
+     * @param expectedBytes size that is expected; -1 if unknown
+     */
+    KeptBytes(ByteBufAllocator allocator, BufferBudget budget, long expectedBytes) {
         this.allocator = allocator;
         this.budget = budget;
+        this.initialBytes = (int) Math.min(Math.max(expectedBytes, MIN_BYTES), MAX_INITIAL_BYTES);
     }
 
     /** Copies the part; returns whether the budget still has room. */
@@ -31,7 +39,7 @@
             return withinBudget;
         }
         if (bytes == Unpooled.EMPTY_BUFFER) {
-            bytes = allocator.buffer(Math.max(INITIAL_BYTES, part.readableBytes()));
+            bytes = allocator.buffer(Math.max(initialBytes, part.readableBytes()));
         }
         bytes.writeBytes(part, part.readerIndex(), part.readableBytes());
         int grown = bytes.capacity() - countedBytes;
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/OutcomeRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/OutcomeRecorder.java
@@ -36,7 +36,7 @@
         this.intents = intents;
         this.intent = intent;
         this.loop = loop;
-        this.body = new KeptBytes(allocator, budget);
+        this.body = new KeptBytes(allocator, budget, -1);
     }
 
     void head(HttpResponse head) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/TeamCall.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/TeamCall.java
@@ -47,7 +47,7 @@
         this.requestId = requestId;
         this.key = key;
         this.loop = loop;
-        this.kept = new KeptBytes(connection.allocator(), context.budget());
+        this.kept = new KeptBytes(connection.allocator(), context.budget(), -1);
         this.arrivalMillis = context.time().nowMillis();
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/target/TargetPool.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/target/TargetPool.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon.target;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -20,6 +21,7 @@
     private final ClosingListener closingListener;
     private final Deque<Idle> idle = new ArrayDeque<>();
     private int open;
+    private boolean sweepPlanned;
 
     TargetPool(
             String address, TargetLimits limits, TimeSource time, ClosingListener closingListener) {
@@ -63,11 +65,12 @@
     void offer(TargetConnection connection) {
         synchronized (this) {
             idle.addLast(new Idle(connection, time.nowMillis()));
+            if (sweepPlanned) {
+                return;
+            }
+            sweepPlanned = true;
         }
-        connection
-                .context()
-                .executor()
-                .schedule(this::closeStale, limits.idleMillis() + 1L, TimeUnit.MILLISECONDS);
+        planSweep(connection.context().executor());
     }
 
     void announceClosing() {
@@ -83,10 +86,19 @@
         return open;
     }
 
-    private synchronized void closeStale() {
+    private void planSweep(EventExecutor executor) {
+        executor.schedule(
+                () -> closeStale(executor), limits.idleMillis() + 1L, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void closeStale(EventExecutor executor) {
         long oldest = time.nowMillis() - limits.idleMillis();
         while (!idle.isEmpty() && idle.getFirst().sinceMillis() < oldest) {
             idle.removeFirst().connection().closeFromPool();
         }
+        sweepPlanned = !idle.isEmpty();
+        if (sweepPlanned) {
+            planSweep(executor);
+        }
     }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/AtMostOnceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/AtMostOnceTest.java
@@ -10,12 +10,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalscale.core.queue.AttemptOutcome;
 
 /** What is sent again after a fault, and what the caller hears when nothing may be. */
+@Timeout(30)
 class AtMostOnceTest {
     private static final Map<String, ScriptedTarget.Script> FAULTS =
             Map.ofEntries(
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -50,6 +51,7 @@
     final FakeIntentLog intents = new FakeIntentLog();
     final AtomicLong clockOffsetMillis = new AtomicLong();
     final BlockingQueue<RequestRecord> ended = new LinkedBlockingQueue<>();
+    final List<String> closing = new CopyOnWriteArrayList<>();
     final CallerServer server;
     final TargetClient targets;
 
@@ -59,7 +61,7 @@
     CallerFixture(CallerLimits limits) {
         TimeSource system = TimeSource.system();
         TimeSource time = () -> system.nowMillis() + clockOffsetMillis.get();
-        targets = new TargetClient(time, TargetLimits.defaults(), address -> {});
+        targets = new TargetClient(time, TargetLimits.defaults(), closing::add);
         server =
                 new CallerServer(
                         new InetSocketAddress("127.0.0.1", 0),
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/DrainTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/DrainTest.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** A graceful stop interrupts no request and ends within its bound. */
+@Timeout(30)
 class DrainTest {
     private final CallerFixture fixture = new CallerFixture(CallerFixture.LIMITS);
     private final CountDownLatch answer = new CountDownLatch(1);
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/ForwardingTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/ForwardingTest.java
@@ -4,15 +4,20 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.queue.AttemptOutcome;
 
 /** Whole requests and answers on a path without faults. */
+@Timeout(30)
 class ForwardingTest {
     private final CallerFixture fixture = new CallerFixture(CallerFixture.LIMITS);
 
@@ -48,6 +53,32 @@
             assertThat(record.cut()).isFalse();
         }
 
+        @ParameterizedTest
+        @ValueSource(ints = {0, 1, 65_535, 65_536, 65_537, 2_000_000})
+        void ofAnySizeStreamWholeInBothDirections(int size) throws Exception {
+            fixture.target(
+                    connection -> {
+                        String request = connection.readRequest();
+                        String body = request.substring(request.indexOf("\r\n\r\n") + 4);
+                        connection.write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: "
+                                        + body.length()
+                                        + "\r\n\r\n"
+                                        + body);
+                    });
+            String body =
+                    new Random(size)
+                            .ints(size, 'a', 'z')
+                            .collect(
+                                    StringBuilder::new,
+                                    StringBuilder::appendCodePoint,
+                                    StringBuilder::append)
+                            .toString();
+            RawCaller.Answer answer = fixture.call(CallerFixture.post("/q/assay", "", body));
+            assertThat(answer.whole()).isTrue();
+            assertThat(answer.body().equals(body)).isTrue();
+        }
+
         @Test
         void needNoKeyOnAnOpenQueue() throws Exception {
             ScriptedTarget target = fixture.answering(ScriptedTarget.OK);
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/RefusalTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/RefusalTest.java
@@ -6,12 +6,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvFileSource;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 
 /** Requests that must not reach a target, each with its own error. */
+@Timeout(30)
 class RefusalTest {
     private final CallerFixture fixture = new CallerFixture(CallerFixture.LIMITS);
     private final ScriptedTarget target = fixture.answering(ScriptedTarget.OK);
@@ -66,6 +68,21 @@
             assertThat(fixture.intents.holds("k")).isFalse();
         }
 
+        @Test
+        void withFullBuffersKeyedBodiesAreRefusedAndOthersStream() throws IOException {
+            CallerLimits limits =
+                    new CallerLimits(8, 16 << 10, 300, 60_000, 64 << 10, 8 << 20, 4096, 50, 500);
+            try (CallerFixture small = new CallerFixture(limits)) {
+                ScriptedTarget streamed = small.answering(ScriptedTarget.OK);
+                String body = "x".repeat(50_000);
+                String keyed = CallerFixture.post("/q/assay", "Idempotency-Key: k\r\n", body);
+                assertRefused(small.call(keyed), "queue_full");
+                assertThat(small.call(CallerFixture.post("/q/assay", "", body)).status())
+                        .isEqualTo(200);
+                assertThat(streamed.received()).endsWith(body);
+            }
+        }
+
         @Test
         void oneConnectionTooManyIsToldSo() throws IOException {
             CallerLimits limits =
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/WholeAnswerTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/WholeAnswerTest.java
@@ -9,10 +9,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Each caller gets the whole answer to its own request, or sees that it did not. */
+@Timeout(30)
 class WholeAnswerTest {
     private final CallerFixture fixture = new CallerFixture(CallerFixture.LIMITS);
 
@@ -130,6 +132,18 @@
             ScriptedTarget target = numbering("Connection: close\r\n", "");
             callTwice();
             assertThat(target.connections()).isEqualTo(2);
+            assertThat(fixture.closing).containsOnly(target.address());
+        }
+
+        @Test
+        void areClosedAfterARefusal() throws Exception {
+            ScriptedTarget target = fixture.answering(ScriptedTarget.FULL);
+            assertThat(fixture.call(CallerFixture.get("/q/assay")).run()).isEqualTo("not-run");
+            while (fixture.targets.openConnections(target.address()) > 0) {
+                Thread.onSpinWait();
+            }
+            assertThat(fixture.call(CallerFixture.get("/q/assay")).run()).isEqualTo("not-run");
+            assertThat(target.connections()).isEqualTo(2);
         }
 
         @ParameterizedTest
