--- a/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
+++ b/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
@@ -30,7 +30,9 @@
         lock.lock();
         try {
             List<Row> found = new ArrayList<>();
-            for (Row row : rows.tailMap(new RowKey(prefix), true).values()) {
+            NavigableMap<RowKey, Row> candidates =
+                    prefix.isEmpty() ? rows : rows.tailMap(new RowKey(prefix), true);
+            for (Row row : candidates.values()) {
                 if (!row.key().value().startsWith(prefix)) {
                     break;
                 }
@@ -62,6 +64,16 @@
         }
     }
 
+    /** The version of the latest commit; 0 before the first one. */
+    public long version() {
+        lock.lock();
+        try {
+            return version;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void apply(Mutation mutation) {
         if (mutation.value().isEmpty()) {
             rows.remove(mutation.key());
