--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
@@ -14,6 +14,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -32,6 +34,7 @@
 import org.quetzalscale.daemon.target.TargetClient;
 import org.quetzalscale.daemon.target.TargetLimits;
 import org.quetzalscale.net.EventLoops;
+import org.quetzalscale.net.http.HttpReply;
 
 /** A caller server with fakes behind it and scripted targets. */
 final class CallerFixture implements AutoCloseable {
@@ -48,6 +51,7 @@
     final FakeIntentLog intents = new FakeIntentLog();
     final AtomicLong clockOffsetMillis = new AtomicLong();
     final BlockingQueue<RequestRecord> ended = new LinkedBlockingQueue<>();
+    final List<String> closing = new CopyOnWriteArrayList<>();
     final CallerServer server;
     final TargetClient targets;
 
@@ -57,7 +61,7 @@
     CallerFixture(CallerLimits limits) {
         TimeSource system = TimeSource.system();
         TimeSource time = () -> system.nowMillis() + clockOffsetMillis.get();
-        targets = new TargetClient(time, TargetLimits.defaults(), address -> {});
+        targets = new TargetClient(time, TargetLimits.defaults(), closing::add);
         server =
                 new CallerServer(
                         new InetSocketAddress("127.0.0.1", 0),
@@ -68,7 +72,10 @@
                         time,
                         targets,
                         limits,
-                        ended::add);
+                        ended::add,
+                        (team, call) ->
+                                CompletableFuture.completedFuture(
+                                        HttpReply.json(202, team + call.path() + call.query())));
         server.start();
     }
 
