--- a/ctl/src/main/java/org/quetzalscale/ctl/client/OperatorClient.java
+++ b/ctl/src/main/java/org/quetzalscale/ctl/client/OperatorClient.java
@@ -147,6 +147,11 @@
         throw refusal(reply.status(), error);
     }
 
+    /** The refusal that an error answer tells of. */
+    static CtlException refusal(HttpReply reply) {
+        return refusal(reply.status(), parse(reply).path("error"));
+    }
+
     private static JsonNode parse(HttpReply reply) {
         if (reply.body().length == 0) {
             return Json.mapper().createObjectNode();
--- a/ctl/src/test/java/org/quetzalscale/ctl/command/FakeOperator.java
+++ b/ctl/src/test/java/org/quetzalscale/ctl/command/FakeOperator.java
@@ -5,10 +5,9 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -29,7 +28,7 @@
 
     private final JsonHttpServer server;
     private final Map<String, ObjectNode> resources = new TreeMap<>();
-    private final Set<LineSink> watchers = new HashSet<>();
+    private final Map<LineSink, Kind> watchers = new HashMap<>();
     private final List<String> calls = new ArrayList<>();
     private long revision;
     private int answersToLose;
@@ -67,13 +66,16 @@
         pollsUntilInForce = polls;
     }
 
-    /** Watches from before the present revision are refused. */
-    synchronized void forgetChanges() {
+    /** Disconnects the watchers, replaces one pool by another and forgets how. */
+    synchronized void changeUnseen(String deleted, String created) {
+        disconnectWatchers();
+        delete(Kind.POOLS, deleted, find(Kind.POOLS, deleted).path("resourceVersion").asText());
+        put(Kind.POOLS, created, "{\"minAvailable\":1}");
         oldestKept = revision;
     }
 
     synchronized void disconnectWatchers() {
-        watchers.forEach(LineSink::close);
+        watchers.keySet().forEach(LineSink::close);
         watchers.clear();
     }
 
@@ -115,7 +117,7 @@
             return write(call, kind, parts);
         }
         if (call.parameter("watch").isPresent()) {
-            return watch(Long.parseLong(call.parameter("from").orElseThrow()));
+            return watch(kind, Long.parseLong(call.parameter("from").orElseThrow()));
         }
         return parts.length == 3 ? reply(list(kind)) : reply(find(kind, parts[3]));
     }
@@ -200,7 +202,7 @@
         return document;
     }
 
-    private CompletionStage<HttpReply> watch(long from) {
+    private CompletionStage<HttpReply> watch(Kind kind, long from) {
         if (from < oldestKept) {
             throw new QuetzalscaleException(ErrorKind.REVISION_TOO_OLD, "from", "too old");
         }
@@ -208,14 +210,19 @@
                 HttpReply.lines(
                         sink -> {
                             synchronized (this) {
-                                watchers.add(sink);
+                                watchers.put(sink, kind);
                                 sink.send("{\"type\":\"bookmark\",\"revision\":" + from + "}");
                             }
                         }));
     }
 
     private void send(ObjectNode line) {
-        watchers.forEach(sink -> sink.send(Json.write(line)));
+        watchers.forEach(
+                (sink, kind) -> {
+                    if (line.path("kind").asText().equals(kind.path())) {
+                        sink.send(Json.write(line));
+                    }
+                });
     }
 
     private ObjectNode state(ObjectNode node, boolean inForce) {
--- a/net/src/main/java/org/quetzalscale/net/http/LineReceiver.java
+++ b/net/src/main/java/org/quetzalscale/net/http/LineReceiver.java
@@ -85,7 +85,6 @@
             return;
         }
         ended.completeExceptionally(
-                HttpCallException.maybeSent(
-                        "status " + status + ": " + partial.toString(StandardCharsets.UTF_8)));
+                HttpCallException.answered(HttpReply.text(status, "", partial.toByteArray())));
     }
 }
--- a/net/src/test/java/org/quetzalscale/net/http/JsonHttpTest.java
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpTest.java
@@ -118,5 +118,15 @@
                     .get(10, TimeUnit.SECONDS);
             assertThat(lines).containsExactly("one", "two");
         }
+
+        @Test
+        void failsWithTheAnswerThatRefusesTheStream() {
+            HttpCall call = HttpCall.of(HttpMethod.GET, "/nowhere", new byte[0]);
+            var ended = client.stream(call, TIMEOUT_MILLIS, line -> {}).ended();
+            Throwable failure = catchThrowable(() -> ended.toCompletableFuture().join());
+            HttpReply answer = ((HttpCallException) failure.getCause()).answer().orElseThrow();
+            assertThat(answer.status()).isEqualTo(404);
+            assertThat(new String(answer.body())).contains("resource_unknown");
+        }
     }
 }
