--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/logging/Logs.java
@@ -0,0 +1,16 @@
+package org.quetzalscale.daemon.logging;
+
+import org.quetzalscale.daemon.settings.Settings;
+import org.tinylog.configuration.Configuration;
+
+/** Applies the log settings. */
+public final class Logs {
+    private Logs() {}
+
+    /** Sets level and format; has an effect only before the first log entry of the process. */
+    public static void configure(Settings settings) {
+        Configuration.set("level", settings.logLevel());
+        Configuration.set("writer", "structured");
+        Configuration.set("writer.layout", settings.logFormat());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package org.quetzalscale.daemon.logging;
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics of one process in the Prometheus format. */
+package org.quetzalscale.daemon.metrics;
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/logging/StructuredWriterTest.java
@@ -0,0 +1,69 @@
+package org.quetzalscale.daemon.logging;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quetzalscale.net.json.Json;
+import org.tinylog.Level;
+import org.tinylog.configuration.ServiceLoader;
+import org.tinylog.core.LogEntry;
+import org.tinylog.runtime.RuntimeProvider;
+import org.tinylog.writers.Writer;
+
+class StructuredWriterTest {
+    private static final String MESSAGE = "peer \"i-2\"\nis gone";
+
+    private static String write(String layout) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        new StructuredWriter(Map.of("layout", layout), stream)
+                .write(
+                        new LogEntry(
+                                RuntimeProvider.createTimestamp(),
+                                Thread.currentThread(),
+                                null,
+                                "org.Example",
+                                null,
+                                null,
+                                0,
+                                null,
+                                Level.WARN,
+                                MESSAGE,
+                                new IllegalStateException("bad")));
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Guards against an entry that spans lines, which log collectors take for several entries. */
+    @ParameterizedTest
+    @ValueSource(strings = {"json", "text"})
+    void writesOneLineForEachEntry(String layout) {
+        assertThat(write(layout).lines()).hasSize(1);
+    }
+
+    @Test
+    void writesAJsonObject() {
+        var tree = Json.readTree(write("json").getBytes(StandardCharsets.UTF_8));
+        assertThat(tree.path("message").asText()).isEqualTo(MESSAGE);
+        assertThat(tree.path("level").asText()).isEqualTo("warn");
+        assertThat(tree.path("exception").asText()).contains("IllegalStateException: bad");
+    }
+
+    @Test
+    void writesPairsWithQuotedValues() {
+        assertThat(write("text"))
+                .contains("level=\"warn\" class=\"org.Example\"")
+                .contains("message=\"peer \\\"i-2\\\"\\nis gone\"");
+    }
+
+    @Test
+    void isFoundByTinylogUnderItsShortName() {
+        Writer found = new ServiceLoader<>(Writer.class, Map.class).create("structured", Map.of());
+        assertThat(found).isInstanceOf(StructuredWriter.class);
+    }
+}
