Fix the bound of the waiting requests

Cause: the test of a full queue blocked: the bound let one request more than maxQueued wait, and the test joined an answer that never came. Change: compare against the bound itself; the test requires an ended answer before it joins it. Ruled out: nothing. Conclusion: a full queue refuses, and a failed expectation ends the test.

--- a/core/src/main/java/org/quetzalscale/core/queue/FairAdmission.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/FairAdmission.java
@@ -74,7 +74,7 @@
                     queued.stream()
                             .filter(other -> other.request.queue().equals(request.queue()))
                             .count();
-            if (ahead > queue.get().maxQueued()) {
+            if (ahead > 0 && ahead >= queue.get().maxQueued()) {
                 return refuse(
                         ErrorKind.QUEUE_FULL,
                         "queue \"" + request.queue() + "\" holds " + ahead + " waiting requests");
--- a/core/src/test/java/org/quetzalscale/core/Fixtures.java
+++ b/core/src/test/java/org/quetzalscale/core/Fixtures.java
@@ -29,10 +29,12 @@
     private long revision;
     private boolean valid = true;
 
+    /** An active worker of the pool. */
     public Fixtures worker(String name, int slots) {
         return worker(name, slots, false, WorkerPhase.ACTIVE);
     }
 
+    /** A worker of the pool in the given phase. */
     public Fixtures worker(String name, int slots, boolean drain, WorkerPhase phase) {
         ZoneId zone = new ZoneId("zone-a");
         RackId rack = new RackId("rack-1");
@@ -43,6 +45,7 @@
         return put(Kind.ASSIGNMENTS, name, new AssignmentSpec(POOL, phase, ""));
     }
 
+    /** A queue of the pool with a time limit of 5 s. */
     public Fixtures queue(String name, boolean open, int maxQueued) {
         return put(
                 Kind.QUEUES,
@@ -50,15 +53,18 @@
                 new QueueSpec(POOL, open, 5_000, maxQueued, QueueSpec.DEFAULT_IDEMPOTENT_METHODS));
     }
 
+    /** A team. */
     public Fixtures team(String name, double share, int limit) {
         return put(Kind.TEAMS, name, new TeamSpec(share, limit));
     }
 
+    /** Lets the validity of the configuration expire. */
     public Fixtures invalid() {
         valid = false;
         return this;
     }
 
+    /** Removes a resource. */
     public Fixtures remove(Kind kind, String name) {
         resources.get(kind).remove(name);
         return rebuild();
--- a/core/src/test/java/org/quetzalscale/core/VirtualTime.java
+++ b/core/src/test/java/org/quetzalscale/core/VirtualTime.java
@@ -11,6 +11,7 @@
         return nowMillis;
     }
 
+    /** Moves the clock forward. */
     public void advance(long millis) {
         nowMillis += millis;
     }
--- a/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
@@ -37,6 +37,7 @@
     }
 
     private static ErrorKind kind(CompletableFuture<?> answer) {
+        assertThat(answer).isDone();
         return QuetzalscaleException.from(catchThrowable(answer::join)).kind();
     }
 
