Add the holder of upper-limit blocks

Cause: a request must be admitted against the team's limit without a call to the table, also while the table is down or a holder is paused. Change: BlockHolder keeps the usable units per team in shards and rebalances its blocks in one transaction per tick. It gives units up before the commit that returns them. A commit whose answer was lost may still take effect later, so until the row has a newer version only the units that both outcomes leave are used; an unchanged row is written again to learn the fate. GoneHolders tells whose blocks may be reclaimed. BlockPlan moves holders to their max-min fair part when the demands exceed the limit. Ruled out: freeing a block when a lease lapses, and using a former block at once after a restart; the seeded fleet exceeds the limit with either variant, and the tests keep both.

--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/limit/BlockHolderTest.java
@@ -0,0 +1,220 @@
+package org.quetzalscale.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.table.FaultyTable;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.TableFault;
+import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.core.time.VirtualTime;
+
+/** The upper limit as a property over faults, and the moves of blocks between holders. */
+class BlockHolderTest {
+    private static final int STEPS = 800;
+    private static final int SEEDS = 300;
+    private static final TeamId TEAM = HolderFleet.TEAM;
+    private static final RowKey ROW = RowKey.of("limit", TEAM.value());
+
+    private final VirtualTime time = new VirtualTime();
+    private final FaultyTable table = new FaultyTable(time);
+    private final LimitRowText codec = new LimitRowText();
+    private final GoneHolders gone = new GoneHolders();
+    private final List<TeamId> arrived = new ArrayList<>();
+
+    private BlockHolder holder(String name) {
+        return new BlockHolder(
+                new InstanceId(name),
+                table,
+                codec,
+                time,
+                other -> gone.isReclaimable(other, time.nowMillis()),
+                arrived::add,
+                Runnable::run);
+    }
+
+    private void declare(int limit) {
+        LimitRow row =
+                table.actual()
+                        .read(ROW)
+                        .toCompletableFuture()
+                        .join()
+                        .map(r -> codec.decode(r.value()))
+                        .orElse(new LimitRow(0, Map.of()));
+        table.actual()
+                .commit(Transaction.builder().put(ROW, codec.encode(row.withLimit(limit))).build());
+    }
+
+    private LimitRow row() {
+        return codec.decode(
+                table.actual().read(ROW).toCompletableFuture().join().orElseThrow().value());
+    }
+
+    private static int acquire(BlockHolder holder, int count) {
+        holder.waiting(TEAM, count);
+        holder.tick();
+        return (int) IntStream.range(0, count).filter(i -> holder.tryAcquire(TEAM)).count();
+    }
+
+    private static boolean exceedsLimit(
+            long seed, int limit, boolean reclaimAtLeaseEnd, long quarantineMillis) {
+        HolderFleet fleet = new HolderFleet(seed, limit, reclaimAtLeaseEnd, quarantineMillis);
+        return IntStream.range(0, STEPS).anyMatch(i -> !fleet.step());
+    }
+
+    /** Guards invariant 4: no team runs more across the fleet than its upper limit. */
+    @Property(tries = SEEDS, seed = "4")
+    void neverRunsMoreThanTheLimit(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 10) int limit) {
+        assertThat(exceedsLimit(seed, limit, false, BlockHolder.QUARANTINE_MILLIS)).isFalse();
+    }
+
+    /** Guards against units that no holder can use any more after all faults have ended. */
+    @Property(tries = 50, seed = "5")
+    void usesTheWholeLimitAfterRecovery(@ForAll long seed) {
+        HolderFleet fleet = new HolderFleet(seed, 8, false, BlockHolder.QUARANTINE_MILLIS);
+        IntStream.range(0, STEPS).forEach(i -> fleet.step());
+        assertThat(fleet.unitsAfterRecovery()).isEqualTo(fleet.limit());
+    }
+
+    /** Shows that the property would notice blocks that are freed when a lease lapses. */
+    @Test
+    void noticesBlocksFreedAtLeaseEnd() {
+        assertThat(
+                        IntStream.range(0, SEEDS)
+                                .anyMatch(
+                                        seed ->
+                                                exceedsLimit(
+                                                        seed,
+                                                        6,
+                                                        true,
+                                                        BlockHolder.QUARANTINE_MILLIS)))
+                .isTrue();
+    }
+
+    /** Shows that the property would notice a restarted process that uses its block at once. */
+    @Test
+    void noticesAMissingQuarantine() {
+        assertThat(IntStream.range(0, SEEDS).anyMatch(seed -> exceedsLimit(seed, 6, false, 0)))
+                .isTrue();
+    }
+
+    /** Guards against blocks that stay where no demand is. */
+    @Nested
+    class Moves {
+        @Test
+        void takesUnitsAtTheFirstRequest() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            assertThat(first.tryAcquire(TEAM)).isFalse();
+            assertThat(arrived).containsExactly(TEAM);
+            assertThat(first.tryAcquire(TEAM)).isTrue();
+        }
+
+        @Test
+        void movesIdleUnitsToTheDemand() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            BlockHolder second = holder("i-2");
+            assertThat(acquire(first, 4)).isEqualTo(4);
+            IntStream.range(0, 4).forEach(i -> first.release(TEAM));
+            first.waiting(TEAM, 0);
+            assertThat(acquire(second, 4)).isZero();
+            time.advance(2_000);
+            first.tick();
+            assertThat(acquire(second, 4)).isEqualTo(4);
+        }
+
+        @Test
+        void sharesTheLimitWhenBothWantAllOfIt() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            BlockHolder second = holder("i-2");
+            assertThat(acquire(first, 4)).isEqualTo(4);
+            first.waiting(TEAM, 4);
+            second.waiting(TEAM, 8);
+            second.tick();
+            first.tick();
+            first.release(TEAM);
+            first.release(TEAM);
+            assertThat(first.tryAcquire(TEAM)).isFalse();
+            first.tick();
+            second.tick();
+            assertThat(second.tryAcquire(TEAM)).isTrue();
+            assertThat(second.tryAcquire(TEAM)).isTrue();
+            assertThat(second.tryAcquire(TEAM)).isFalse();
+        }
+
+        @Test
+        void returnsUnitsAfterTheLimitWasLowered() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            assertThat(acquire(first, 4)).isEqualTo(4);
+            declare(1);
+            first.tick();
+            IntStream.range(0, 3).forEach(i -> first.release(TEAM));
+            assertThat(first.tryAcquire(TEAM)).isFalse();
+            first.tick();
+            assertThat(row().granted()).isEqualTo(1);
+        }
+
+        @Test
+        void returnsAllAtAPlannedStop() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            acquire(first, 2);
+            first.stop();
+            assertThat(row().block("i-1").granted()).isEqualTo(2);
+            first.release(TEAM);
+            first.release(TEAM);
+            first.tick();
+            assertThat(first.isIdle()).isTrue();
+            assertThat(row().blocks()).isEmpty();
+        }
+    }
+
+    /** Guards against use of units whose commit is in doubt. */
+    @Nested
+    class LostAnswers {
+        @Test
+        void usesUnitsAfterReadingThemBack() {
+            declare(4);
+            table.failCommits(TableFault.LOSE_ANSWER);
+            assertThat(acquire(holder("i-1"), 4)).isEqualTo(4);
+        }
+
+        @Test
+        void servesFromItsBlockWhileTheTableIsDown() {
+            declare(4);
+            BlockHolder first = holder("i-1");
+            assertThat(acquire(first, 4)).isEqualTo(4);
+            table.setDown(true);
+            first.tick();
+            first.release(TEAM);
+            assertThat(first.tryAcquire(TEAM)).isTrue();
+        }
+    }
+
+    /** Guards against a refusal that blames the limit while units are idle elsewhere. */
+    @Test
+    void knowsWhetherTheLimitIsUsedUp() {
+        declare(2);
+        BlockHolder first = holder("i-1");
+        assertThat(first.isUsedUp(TEAM)).isFalse();
+        acquire(first, 1);
+        first.tick();
+        assertThat(first.isUsedUp(TEAM)).isFalse();
+        acquire(first, 1);
+        assertThat(first.isUsedUp(TEAM)).isTrue();
+    }
+}
--- a/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
@@ -9,12 +9,12 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.Fixtures;
-import org.quetzalscale.core.VirtualTime;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.route.WorkerChooser;
+import org.quetzalscale.core.time.VirtualTime;
 
 /** Admission of requests: limits, slots, waiting, and its refusals. */
 final class FairAdmissionTest {
