Reuse task identifiers after unanswered starts and batch cancellations

Cause: the platform keeps no record of a task that never started, so a start whose answer was lost, or that a paused holder sends late, could run a second execution. A wave of cancellations could use up the store's writes.

Change: an attempt that the platform never took is withdrawn; the next start has the same task identifier, so that at most one execution exists for it. A worker that refused gets no jobs for 10 s.

Ruled out: a new attempt number after an unanswered start; finishing an attempt without the platform's report.

--- a/core/src/main/java/org/quetzalscale/core/billing/LedgerEntry.java
+++ b/core/src/main/java/org/quetzalscale/core/billing/LedgerEntry.java
@@ -4,6 +4,7 @@
 import org.quetzalscale.core.fleet.TaskReport;
 import org.quetzalscale.core.fleet.TaskState;
 import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.TaskId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.table.RowKey;
@@ -59,6 +60,11 @@
                 report.peakMemoryMib());
     }
 
+    /** The platform's identifier of the attempt. */
+    public TaskId task() {
+        return new TaskId(job.value() + "-" + attempt);
+    }
+
     /** The entry's row. */
     public RowKey key() {
         return RowKey.of("ledger", job.value(), Integer.toString(attempt));
--- a/core/src/main/java/org/quetzalscale/core/job/FleetObserver.java
+++ b/core/src/main/java/org/quetzalscale/core/job/FleetObserver.java
@@ -32,10 +32,12 @@
 public final class FleetObserver {
     private static final long FIRST_RETRY_MILLIS = 1_000;
     private static final int MAX_RETRY_DOUBLINGS = 5;
+    private static final long REFUSED_MILLIS = 10_000;
 
     private final Estimator estimator = new Estimator();
     private final FaultAttribution attribution = new FaultAttribution();
     private final Map<JobId, Integer> recorded = new HashMap<>();
+    private final Map<WorkerId, Long> refusedUntilMillis = new HashMap<>();
     private final Map<JobId, Long> retryAtMillis = new HashMap<>();
 
     /** The record of ended attempts. */
@@ -71,6 +73,11 @@
         }
     }
 
+    /** Notes that a worker took no task, so that it gets none for a while. */
+    public void refused(WorkerId worker, long nowMillis) {
+        refusedUntilMillis.put(worker, nowMillis + REFUSED_MILLIS);
+    }
+
     /** Drops what concerns jobs that have ended. */
     public void retain(Set<JobId> open) {
         retryAtMillis.keySet().retainAll(open);
@@ -151,6 +158,7 @@
         Function<WorkerId, Boolean> blocked =
                 worker ->
                         setAside.contains(worker)
+                                || refusedUntilMillis.getOrDefault(worker, nowMillis) > nowMillis
                                 || attribution.isOnProbation(worker) && occupied.contains(worker);
         return new FleetView(
                 wallMillis, workers(config, blocked), teams(config, limits), waiting, running);
--- a/core/src/main/java/org/quetzalscale/core/job/JobChange.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobChange.java
@@ -29,15 +29,10 @@
         return new JobChange(before, before.job().startedOn(worker), Optional.empty(), units);
     }
 
-    /** Records that the present attempt runs on, with its usage and latest checkpoint. */
+    /** Records that the present attempt runs on, with its worker, usage and latest checkpoint. */
     public static JobChange renew(StoredJob before, TaskReport report) {
         requireAttempt(before, report);
-        JobRow renewed = before.job().renewed(report.runMillis());
-        return keep(
-                before,
-                report.checkpoint().isEmpty()
-                        ? renewed
-                        : renewed.checkpointed(report.checkpoint()));
+        return keep(before, before.job().renewed(report));
     }
 
     /** Records a checkpoint of the present attempt. */
@@ -56,6 +51,17 @@
         return keep(before, before.job().stopping(reason));
     }
 
+    /** Takes back the present attempt, which the platform never took, and returns its units. */
+    public static JobChange withdraw(StoredJob before, String reason) {
+        requireState(before, before.job().state().holdsUnits());
+        JobRow job = before.job();
+        JobRow after =
+                job.cancelRequested()
+                        ? job.withdrawn("").released(JobState.CANCELLED, "cancelled")
+                        : job.withdrawn(reason);
+        return new JobChange(before, after, Optional.empty(), -job.spec().slots());
+    }
+
     /** Ends a job that has no present attempt. */
     public static JobChange end(StoredJob before, JobState end, String reason) {
         requireState(before, before.job().state() == JobState.QUEUED);
--- a/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
@@ -133,7 +133,9 @@
                 .thenAccept(
                         tick -> {
                             tracker.track(tick.jobs());
-                            tracker.drive(time.nowMillis());
+                            if (leases.get().equals(Optional.of(tick.lease()))) {
+                                tracker.drive(time.nowMillis());
+                            }
                             forget(tick);
                         });
     }
@@ -174,9 +176,7 @@
             if (report.isPresent() && report.get().state().ended()) {
                 reports.put(job.id(), report.get());
                 changes.add(FinishRule.apply(stored, report.get(), observer.attribution()));
-            } else if (report.isPresent()
-                    && !report.get().checkpoint().isEmpty()
-                    && !report.get().checkpoint().equals(job.checkpoint())) {
+            } else if (report.isPresent() && isNews(job, report.get())) {
                 changes.add(JobChange.renew(stored, report.get()));
             }
         }
@@ -194,6 +194,13 @@
                         });
     }
 
+    /** Whether the next holder of the lease would miss something that the row does not have. */
+    private static boolean isNews(JobRow job, TaskReport report) {
+        boolean saved =
+                !report.checkpoint().isEmpty() && !report.checkpoint().equals(job.checkpoint());
+        return saved || !report.worker().value().equals(job.worker());
+    }
+
     private CompletionStage<Tick> setAsideWorkers(Tick tick) {
         CompletionStage<Tick> stage = CompletableFuture.completedFuture(tick);
         for (WorkerId worker : knownFaults) {
@@ -275,14 +282,19 @@
                     .or(() -> observer.attribution().jobFault(job.id()))
                     .map(reason -> JobChange.end(stored, JobState.SET_ASIDE, reason));
         }
-        if (job.state() == JobState.RUNNING && tracker.report(job.task()).isEmpty()) {
-            long granted = grantedAtMillis.computeIfAbsent(job.task(), task -> nowMillis);
-            if (nowMillis - granted >= START_GIVE_UP_MILLIS) {
-                return Optional.of(
-                        JobChange.stop(stored, "worker " + job.worker() + " did not start it"));
-            }
+        if (!job.state().holdsUnits() || tracker.report(job.task()).isPresent()) {
+            return Optional.empty();
+        }
+        long granted = grantedAtMillis.computeIfAbsent(job.task(), task -> nowMillis);
+        boolean stopped = job.state() == JobState.STOPPING || job.cancelRequested();
+        // A start whose answer was lost may still arrive; only a start elsewhere finds it again.
+        boolean due = tracker.isRefused(job.task()) && !stopped;
+        if (!due && nowMillis - granted < START_GIVE_UP_MILLIS) {
+            return Optional.empty();
         }
-        return Optional.empty();
+        observer.refused(new WorkerId(job.worker()), nowMillis);
+        return Optional.of(
+                JobChange.withdraw(stored, "worker " + job.worker() + " did not start it"));
     }
 
     private void measure(JobPlan plan, long nowMillis) {
--- a/core/src/main/java/org/quetzalscale/core/job/JobRow.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobRow.java
@@ -85,9 +85,34 @@
                 attempts);
     }
 
-    /** The job with the usage of its present attempt. */
-    public JobRow renewed(long reportedRunMillis) {
-        return with(state, worker, checkpoint, reason, cancelRequested, reportedRunMillis);
+    /** The job with the worker and usage of its present attempt, as the platform reports them. */
+    public JobRow renewed(TaskReport report) {
+        return with(
+                state,
+                report.worker().value(),
+                report.checkpoint().isEmpty() ? checkpoint : report.checkpoint(),
+                reason,
+                cancelRequested,
+                report.runMillis());
+    }
+
+    /**
+     * The waiting job without its present attempt, which the platform never took. The next start
+     * has the same task identifier again, so that a start that arrives late runs nothing twice.
+     */
+    public JobRow withdrawn(String why) {
+        return new JobRow(
+                id,
+                spec,
+                JobState.QUEUED,
+                attempt - 1,
+                "",
+                checkpoint,
+                why,
+                cancelRequested,
+                submittedAtMillis,
+                0,
+                attempts);
     }
 
     /** The job with a checkpoint that its next attempt resumes from. */
--- a/core/src/main/java/org/quetzalscale/core/job/JobStore.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobStore.java
@@ -7,7 +7,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Function;
 import java.util.function.ToIntFunction;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
@@ -35,11 +34,13 @@
 
     private final TransactionalTable table;
     private final JobCodecs codecs;
+    private final JobRows jobRows;
 
     /** A store of jobs in a table. */
     public JobStore(TransactionalTable table, JobCodecs codecs) {
         this.table = table;
         this.codecs = codecs;
+        this.jobRows = new JobRows(table, codecs);
     }
 
     /**
@@ -60,7 +61,7 @@
      * @return fails with JOB_UNKNOWN if the team has no such job
      */
     public CompletionStage<JobRow> find(TeamId team, JobId id) {
-        return findStored(id)
+        return jobRows.findStored(id)
                 .thenApply(
                         found ->
                                 found.map(StoredJob::job)
@@ -78,10 +79,45 @@
         return cancel(team, id, MAX_TRIES);
     }
 
+    /**
+     * Cancels distinct jobs in one transaction, each as {@link #cancel} does.
+     *
+     * @return a result for each in order, or empty if nothing changed because a job did meanwhile
+     */
+    public CompletionStage<Optional<List<CancelResult>>> cancelTogether(
+            List<Cancellation> requests) {
+        CompletionStage<List<Optional<StoredJob>>> reads =
+                CompletableFuture.completedFuture(new ArrayList<>());
+        for (Cancellation request : requests) {
+            reads =
+                    reads.thenCombine(
+                            jobRows.findStored(request.job()),
+                            (found, stored) -> {
+                                found.add(stored);
+                                return found;
+                            });
+        }
+        return reads.thenCompose(
+                found -> {
+                    List<JobChange> changes = new ArrayList<>();
+                    List<CancelResult> results = new ArrayList<>();
+                    for (int i = 0; i < requests.size(); i++) {
+                        results.add(decide(requests.get(i), found.get(i), changes));
+                    }
+                    if (changes.isEmpty()) {
+                        return CompletableFuture.completedFuture(Optional.of(results));
+                    }
+                    Transaction.Builder transaction = Transaction.builder();
+                    changes.forEach(change -> jobRows.add(transaction, change));
+                    return jobRows.commitAndReadBack(transaction.build(), changes)
+                            .thenApply(written -> written.map(done -> results));
+                });
+    }
+
     /** All jobs that have not ended. */
     public CompletionStage<List<StoredJob>> open() {
         return table.scan(JobKeys.OPEN_PREFIX)
-                .thenApply(rows -> rows.stream().map(this::decode).toList());
+                .thenApply(rows -> rows.stream().map(jobRows::decode).toList());
     }
 
     /** Upper limits and blocks of all teams that have a row. */
@@ -129,8 +165,8 @@
                                     return CompletableFuture.completedFuture(Optional.empty());
                                 }
                             }
-                            changes.forEach(change -> add(transaction, change));
-                            return commitAndReadBack(transaction.build(), changes);
+                            changes.forEach(change -> jobRows.add(transaction, change));
+                            return jobRows.commitAndReadBack(transaction.build(), changes);
                         });
     }
 
@@ -215,7 +251,7 @@
                         .require(Condition.absent(JobKeys.done(job.id())))
                         .insert(key, codecs.job().encode(job))
                         .build();
-        return onUnknown(
+        return JobRows.onUnknown(
                 table.commit(transaction)
                         .thenCompose(
                                 result ->
@@ -223,7 +259,7 @@
                                                 ? CompletableFuture.completedFuture(job)
                                                 : existing(job)),
                 failure ->
-                        findStored(job.id())
+                        jobRows.findStored(job.id())
                                 .thenCompose(
                                         found -> {
                                             if (found.isPresent()) {
@@ -239,7 +275,7 @@
     }
 
     private CompletionStage<JobRow> existing(JobRow submitted) {
-        return findStored(submitted.id())
+        return jobRows.findStored(submitted.id())
                 .thenApply(
                         found -> {
                             JobRow job = found.orElseThrow(() -> unknown(submitted.id())).job();
@@ -256,51 +292,38 @@
     }
 
     private CompletionStage<JobRow> cancel(TeamId team, JobId id, int triesLeft) {
-        return findStored(id)
+        return cancelTogether(List.of(new Cancellation(team, id)))
                 .thenCompose(
-                        found -> {
-                            StoredJob stored =
-                                    found.filter(job -> job.job().spec().team().equals(team))
-                                            .orElseThrow(() -> unknown(id));
-                            JobRow job = stored.job();
-                            if (job.state().ended() || job.cancelRequested()) {
-                                return CompletableFuture.completedFuture(job);
+                        results -> {
+                            if (results.isPresent()) {
+                                return results.get().get(0).toStage();
                             }
-                            JobRow after =
-                                    job.state() == JobState.QUEUED
-                                            ? job.cancelling()
-                                                    .released(JobState.CANCELLED, "cancelled")
-                                            : job.cancelling();
-                            JobChange change = new JobChange(stored, after, Optional.empty(), 0);
-                            Transaction.Builder transaction = Transaction.builder();
-                            add(transaction, change);
-                            return commitAndReadBack(transaction.build(), List.of(change))
-                                    .thenCompose(
-                                            written -> {
-                                                if (written.isPresent()) {
-                                                    return CompletableFuture.completedFuture(after);
-                                                }
-                                                if (triesLeft <= 1) {
-                                                    throw new QuetzalscaleException(
-                                                            ErrorKind.VERSION_CONFLICT,
-                                                            "job " + id + " changes too often");
-                                                }
-                                                return cancel(team, id, triesLeft - 1);
-                                            });
+                            if (triesLeft <= 1) {
+                                throw new QuetzalscaleException(
+                                        ErrorKind.VERSION_CONFLICT,
+                                        "job " + id + " changes too often");
+                            }
+                            return cancel(team, id, triesLeft - 1);
                         });
     }
 
-    private void add(Transaction.Builder transaction, JobChange change) {
-        Row before = change.before().row();
-        JobRow after = change.after();
-        if (after.state().ended()) {
-            transaction.delete(before);
-            transaction.insert(JobKeys.done(after.id()), codecs.job().encode(after));
-        } else {
-            transaction.replace(before, codecs.job().encode(after));
+    private CancelResult decide(
+            Cancellation request, Optional<StoredJob> found, List<JobChange> changes) {
+        Optional<StoredJob> own =
+                found.filter(stored -> stored.job().spec().team().equals(request.team()));
+        if (own.isEmpty()) {
+            return new CancelResult(Optional.empty(), Optional.of(unknown(request.job())));
+        }
+        JobRow job = own.get().job();
+        if (job.state().ended() || job.cancelRequested()) {
+            return new CancelResult(Optional.of(job), Optional.empty());
         }
-        change.ledger()
-                .ifPresent(entry -> transaction.insert(entry.key(), codecs.ledger().encode(entry)));
+        JobRow after =
+                job.state() == JobState.QUEUED
+                        ? job.cancelling().released(JobState.CANCELLED, "cancelled")
+                        : job.cancelling();
+        changes.add(new JobChange(own.get(), after, Optional.empty(), 0));
+        return new CancelResult(Optional.of(after), Optional.empty());
     }
 
     private boolean addUnits(
@@ -343,89 +366,7 @@
         return rows;
     }
 
-    private CompletionStage<Optional<List<StoredJob>>> commitAndReadBack(
-            Transaction transaction, List<JobChange> changes) {
-        return onUnknown(
-                table.commit(transaction).thenApply(result -> written(result, changes)),
-                failure -> readBack(changes));
-    }
-
-    private Optional<List<StoredJob>> written(CommitResult result, List<JobChange> changes) {
-        if (!result.isCommitted()) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                changes.stream()
-                        .map(
-                                change ->
-                                        new StoredJob(
-                                                new Row(
-                                                        key(change.after()),
-                                                        result.version(),
-                                                        codecs.job().encode(change.after())),
-                                                change.after()))
-                        .toList());
-    }
-
-    /** One row tells for all, because they were written together. */
-    private CompletionStage<Optional<List<StoredJob>>> readBack(List<JobChange> changes) {
-        List<CompletableFuture<Optional<Row>>> reads = new ArrayList<>();
-        for (JobChange change : changes) {
-            reads.add(table.read(key(change.after())).toCompletableFuture());
-        }
-        return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
-                .thenApply(
-                        done -> {
-                            List<StoredJob> written = new ArrayList<>();
-                            for (int i = 0; i < changes.size(); i++) {
-                                JobRow after = changes.get(i).after();
-                                Optional<Row> row = reads.get(i).join();
-                                if (row.isEmpty()
-                                        || !row.get().value().equals(codecs.job().encode(after))) {
-                                    return Optional.empty();
-                                }
-                                written.add(new StoredJob(row.get(), after));
-                            }
-                            return Optional.of(written);
-                        });
-    }
-
-    private CompletionStage<Optional<StoredJob>> findStored(JobId id) {
-        // A job moves from the first row to the second and never back.
-        return table.read(JobKeys.open(id))
-                .thenCompose(
-                        row ->
-                                row.isPresent()
-                                        ? CompletableFuture.completedFuture(row)
-                                        : table.read(JobKeys.done(id)))
-                .thenApply(row -> row.map(this::decode));
-    }
-
-    private StoredJob decode(Row row) {
-        return new StoredJob(row, codecs.job().decode(row.value()));
-    }
-
-    private static RowKey key(JobRow job) {
-        return job.state().ended() ? JobKeys.done(job.id()) : JobKeys.open(job.id());
-    }
-
     private static QuetzalscaleException unknown(JobId id) {
         return new QuetzalscaleException(ErrorKind.JOB_UNKNOWN, "there is no job " + id);
     }
-
-    private static <T> CompletionStage<T> onUnknown(
-            CompletionStage<T> stage,
-            Function<QuetzalscaleException, CompletionStage<T>> recovery) {
-        return stage.handle(
-                        (value, thrown) -> {
-                            if (thrown == null) {
-                                return CompletableFuture.<T>completedFuture(value);
-                            }
-                            QuetzalscaleException failure = QuetzalscaleException.from(thrown);
-                            return failure.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
-                                    ? recovery.apply(failure)
-                                    : CompletableFuture.<T>failedFuture(failure);
-                        })
-                .thenCompose(Function.identity());
-    }
 }
--- a/core/src/main/java/org/quetzalscale/core/job/TaskTracker.java
+++ b/core/src/main/java/org/quetzalscale/core/job/TaskTracker.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.core.job;
 
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -9,6 +10,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.fleet.TaskReport;
 import org.quetzalscale.core.fleet.TaskRunner;
 import org.quetzalscale.core.id.TaskId;
@@ -31,6 +34,10 @@
     private static final long CALL_TIMEOUT_MILLIS = 2_000;
     private static final long CHECKPOINT_RUN_MILLIS = 60_000;
 
+    /** Answers that say that the platform has no such task and starts none on this worker. */
+    private static final Set<ErrorKind> REFUSALS =
+            EnumSet.of(ErrorKind.INVALID_STATE, ErrorKind.RESOURCE_UNKNOWN);
+
     private final TaskRunner runner;
     private final Map<TaskId, Tracked> tasks = new HashMap<>();
     private final Queue<Reply> replies = new ConcurrentLinkedQueue<>();
@@ -49,10 +56,11 @@
                 continue;
             }
             tracked.callSinceMillis = Tracked.NO_CALL;
-            if (reply.failed()) {
-                continue;
+            if (reply.failure() == null) {
+                tracked.accept(reply.report());
+            } else {
+                tracked.refused |= REFUSALS.contains(reply.failure());
             }
-            tracked.accept(reply.report());
         }
     }
 
@@ -99,10 +107,10 @@
         return tracked == null ? 100 : tracked.throttlePercent;
     }
 
-    /** Whether the platform does not know the task, as far as it answered. */
-    public boolean isUnknown(TaskId task) {
+    /** Whether the platform does not know the task and answered that it will not take it now. */
+    public boolean isRefused(TaskId task) {
         Tracked tracked = tasks.get(task);
-        return tracked != null && tracked.report == null && tracked.answered;
+        return tracked != null && tracked.report == null && tracked.refused;
     }
 
     /** Stops the task without a checkpoint once its job is being stopped. */
@@ -130,7 +138,7 @@
                 });
     }
 
-    /** Makes the calls that are due. */
+    /** Makes the calls that are due; only under the lease, because a start is not fenced. */
     public void drive(long nowMillis) {
         renewDue(nowMillis);
         tasks.forEach(
@@ -168,19 +176,22 @@
                                             new Reply(
                                                     task,
                                                     thrown == null ? report.orElse(null) : null,
-                                                    thrown != null)));
+                                                    kind(thrown))));
         }
     }
 
     private void call(
             TaskId task, Tracked tracked, CompletionStage<TaskReport> stage, long nowMillis) {
         tracked.callSinceMillis = nowMillis;
-        stage.whenComplete(
-                (report, thrown) -> replies.add(new Reply(task, report, thrown != null)));
+        stage.whenComplete((report, thrown) -> replies.add(new Reply(task, report, kind(thrown))));
+    }
+
+    private static ErrorKind kind(Throwable thrown) {
+        return thrown == null ? null : QuetzalscaleException.from(thrown).kind();
     }
 
-    /** An answer of the platform; the report is null if it does not know the task. */
-    private record Reply(TaskId task, TaskReport report, boolean failed) {}
+    /** An answer of the platform: a report, null if it does not know the task, or a failure. */
+    private record Reply(TaskId task, TaskReport report, ErrorKind failure) {}
 
     /** What is known of one task. */
     private static final class Tracked {
@@ -188,7 +199,7 @@
 
         private JobRow job;
         private TaskReport report;
-        private boolean answered;
+        private boolean refused;
         private long callSinceMillis = NO_CALL;
         private long renewedAtMillis = Long.MIN_VALUE / 2;
         private long polledAtMillis = Long.MIN_VALUE / 2;
@@ -197,7 +208,6 @@
         private int throttlePercent = 100;
 
         private void accept(TaskReport latest) {
-            answered = true;
             if (latest == null || hasEnded()) {
                 return;
             }
--- a/daemon/src/main/java/org/quetzalscale/daemon/job/JobHandlers.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobHandlers.java
@@ -10,6 +10,8 @@
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.job.CancelBatcher;
+import org.quetzalscale.core.job.Cancellation;
 import org.quetzalscale.core.job.JobKeys;
 import org.quetzalscale.core.job.JobRow;
 import org.quetzalscale.core.job.JobStore;
@@ -31,6 +33,7 @@
     private static final int ACCEPTED = 202;
 
     private final JobStore store;
+    private final CancelBatcher cancellations;
     private final TimeSource time;
     private final TimeSource wallTime;
     private final SecureRandom random = new SecureRandom();
@@ -41,8 +44,10 @@
      * @param time monotonic time, for waits
      * @param wallTime wall-clock time, which orders submissions
      */
-    public JobHandlers(JobStore store, TimeSource time, TimeSource wallTime) {
+    public JobHandlers(
+            JobStore store, CancelBatcher cancellations, TimeSource time, TimeSource wallTime) {
         this.store = store;
+        this.cancellations = cancellations;
         this.time = time;
         this.wallTime = wallTime;
     }
@@ -83,7 +88,8 @@
      */
     public CompletionStage<HttpReply> cancel(TeamId team, String id) {
         try {
-            return store.cancel(team, jobId(id))
+            return cancellations
+                    .cancel(new Cancellation(team, jobId(id)))
                     .thenApply(
                             job ->
                                     HttpReply.json(
--- a/daemon/src/main/java/org/quetzalscale/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobService.java
@@ -12,6 +12,7 @@
 import org.quetzalscale.core.fleet.TaskRunner;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.job.CancelBatcher;
 import org.quetzalscale.core.job.JobCodecs;
 import org.quetzalscale.core.job.JobDriver;
 import org.quetzalscale.core.job.JobRow;
@@ -36,11 +37,18 @@
     /** Transactions per second that the holder of the lease commits; a third of the store's. */
     private static final int WRITES_PER_SECOND = 100;
 
+    /** Transactions per second for cancellations on all instances; a tenth of the store's. */
+    private static final double CANCEL_WRITES_PER_SECOND = 30;
+
+    private static final int ENTRY_INSTANCES = 8;
+    private static final long CANCEL_FLUSH_MILLIS = 100;
+
     private static final long STOP_MILLIS = 5_000;
 
     private final LeaseKeeper keeper;
     private final JobDriver driver;
     private final JobStore store;
+    private final CancelBatcher cancellations;
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(
                     task -> {
@@ -58,6 +66,7 @@
             TransactionalTable table, TaskRunner runner, ConfigSource config, InstanceId self) {
         TimeSource time = TimeSource.system();
         store = new JobStore(table, codecs());
+        cancellations = new CancelBatcher(store, time, CANCEL_WRITES_PER_SECOND / ENTRY_INSTANCES);
         keeper = new LeaseKeeper(table, Json.codec(LeaseRow.class), "jobs", self, time);
         driver =
                 new JobDriver(
@@ -81,7 +90,8 @@
 
     /** The answers to submitters, which any instance gives. */
     public JobHandlers handlers() {
-        return new JobHandlers(store, TimeSource.system(), System::currentTimeMillis);
+        return new JobHandlers(
+                store, cancellations, TimeSource.system(), System::currentTimeMillis);
     }
 
     /** Distance of each team from its share, 0 to 1, as measured while this instance decided. */
@@ -93,6 +103,11 @@
     public void start() {
         executor.scheduleAtFixedRate(
                 () -> keeper.tick(), 0, LeaseKeeper.RENEW_MILLIS, TimeUnit.MILLISECONDS);
+        executor.scheduleAtFixedRate(
+                cancellations::flush,
+                CANCEL_FLUSH_MILLIS,
+                CANCEL_FLUSH_MILLIS,
+                TimeUnit.MILLISECONDS);
         executor.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/job/JobHandlersTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/job/JobHandlersTest.java
@@ -18,6 +18,7 @@
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.job.Attempt;
+import org.quetzalscale.core.job.CancelBatcher;
 import org.quetzalscale.core.job.JobCodecs;
 import org.quetzalscale.core.job.JobRow;
 import org.quetzalscale.core.job.JobSpec;
@@ -35,7 +36,8 @@
     private static final TeamId TEAM = new TeamId("orchard");
 
     private final JobStore store = new JobStore(new InMemoryTable(), JobService.codecs());
-    private final JobHandlers handlers = new JobHandlers(store, () -> 0, () -> 1_000);
+    private final JobHandlers handlers =
+            new JobHandlers(store, new CancelBatcher(store, () -> 0, 1), () -> 0, () -> 1_000);
 
     private static HttpReply join(CompletionStage<HttpReply> stage) {
         return stage.toCompletableFuture().join();
