--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/job/FaultAttributionTest.java
@@ -0,0 +1,73 @@
+package org.quetzalscale.core.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.WorkerId;
+
+class FaultAttributionTest {
+    private final FaultAttribution attribution = new FaultAttribution();
+
+    private void failed(String job, String worker) {
+        attribution.record(new JobId(job), new WorkerId(worker), false, "exit 3");
+    }
+
+    private void succeeded(String job, String worker) {
+        attribution.record(new JobId(job), new WorkerId(worker), true, "");
+    }
+
+    @Nested
+    class Jobs {
+        @Test
+        void aJobThatFailsWhereOthersSucceedIsAtFault() {
+            failed("bad", "w1");
+            succeeded("x", "w1");
+            failed("bad", "w2");
+            assertThat(attribution.jobFault(new JobId("bad"))).isEmpty();
+            succeeded("y", "w2");
+            assertThat(attribution.jobFault(new JobId("bad")))
+                    .hasValueSatisfying(
+                            reason -> assertThat(reason).contains("w1", "w2", "exit 3"));
+        }
+
+        /** Guards against a job blamed for workers that broke after earlier successes. */
+        @Test
+        void successesBeforeTheFailureDoNotTell() {
+            succeeded("x", "w1");
+            succeeded("y", "w2");
+            failed("victim", "w1");
+            failed("victim", "w2");
+            assertThat(attribution.jobFault(new JobId("victim"))).isEmpty();
+        }
+    }
+
+    @Nested
+    class Workers {
+        @Test
+        void aWorkerThatFailsWhatSucceedsElsewhereIsAtFault() {
+            for (String job : new String[] {"a", "b", "c"}) {
+                failed(job, "w1");
+            }
+            assertThat(attribution.isOnProbation(new WorkerId("w1"))).isTrue();
+            assertThat(attribution.workerFault(new WorkerId("w1"))).isEmpty();
+            for (String job : new String[] {"a", "b", "c"}) {
+                succeeded(job, "w2");
+            }
+            assertThat(attribution.workerFault(new WorkerId("w1")))
+                    .hasValueSatisfying(reason -> assertThat(reason).contains("3 jobs", "exit 3"));
+            assertThat(attribution.workerFault(new WorkerId("w2"))).isEmpty();
+        }
+
+        /** Guards against a worker blamed for jobs that fail everywhere. */
+        @Test
+        void jobsThatFailEverywhereDoNotTell() {
+            for (String job : new String[] {"a", "b", "c"}) {
+                failed(job, "w1");
+                failed(job, "w2");
+            }
+            assertThat(attribution.workerFault(new WorkerId("w1"))).isEmpty();
+        }
+    }
+}
--- a/core/src/test/java/org/quetzalscale/core/job/JobDriverTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobDriverTest.java
@@ -2,7 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
@@ -11,6 +16,7 @@
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.table.Condition;
 
 class JobDriverTest {
     private static final long SETTLE_MILLIS = 400_000;
@@ -99,4 +105,129 @@
             assertSettled(simulation);
         }
     }
+
+    @Nested
+    class Fence {
+        /**
+         * Pauses the holder in the middle of a tick that starts work on a worker, while another
+         * instance fills the worker with urgent work.
+         */
+        private static Set<String> violations(Predicate<Condition> omitted) {
+            Set<String> violations = new TreeSet<>();
+            for (int pauseAfter = 0; pauseAfter <= 200; pauseAfter += 10) {
+                JobSimulation simulation = new JobSimulation(1, 1, omitted);
+                simulation.table.setDelayMillis(60);
+                simulation.run(5_000);
+                JobSimulation.Instance holder =
+                        simulation.instances.stream()
+                                .filter(instance -> instance.keeper.current().isPresent())
+                                .findFirst()
+                                .orElseThrow();
+                simulation.submit(simulation.spec("a", 8, 60_000, false, false));
+                simulation.time.advance(60);
+                holder.driver.tick();
+                simulation.time.advance(pauseAfter);
+                holder.table.pause();
+                JobSimulation.Instance other =
+                        simulation.instances.get(1 - simulation.instances.indexOf(holder));
+                JobId urgent = new JobId("urgent");
+                simulation.submitted.add(urgent);
+                other.store.submit(
+                        urgent,
+                        simulation.spec("c", 5, 60_000, false, true),
+                        simulation.time.nowMillis());
+                simulation.run(12_000);
+                holder.table.resume();
+                simulation.run(100_000);
+                violations.addAll(simulation.violations);
+            }
+            return violations;
+        }
+
+        @Test
+        void aHolderThatWasPausedInATickOvercommitsNoWorker() {
+            assertThat(violations(condition -> false)).isEmpty();
+        }
+
+        /** Shows that the test above fails without the fence. */
+        @Test
+        void withoutTheFenceAWorkerIsOvercommitted() {
+            assertThat(violations(condition -> condition.key().value().endsWith("/epoch")))
+                    .contains("worker w0 has more than its slots");
+        }
+    }
+
+    @Nested
+    class UrgentWork {
+        private static final long URGENT_START_MILLIS = 2_700;
+
+        /** Guards against urgent work that waits for borrowed capacity. */
+        @Property(tries = 30, seed = "2700")
+        void urgentWorkStartsInTimeOnAFullFleet(@ForAll long seed) {
+            Random random = new Random(seed);
+            JobSimulation simulation = new JobSimulation(seed, 2, condition -> false);
+            for (int i = 0; i < 40; i++) {
+                String team = random.nextBoolean() ? "a" : "b";
+                int slots = 1 + random.nextInt(2);
+                simulation.submit(simulation.spec(team, slots, 60_000, false, false));
+            }
+            simulation.run(5_000 + random.nextInt(5_000));
+            List<JobId> urgent = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                urgent.add(simulation.submit(simulation.spec("c", 1, 5_000, false, true)));
+            }
+            simulation.run(URGENT_START_MILLIS);
+            for (JobId id : urgent) {
+                assertThat(simulation.find(id).attempt()).isEqualTo(1);
+            }
+            assertThat(simulation.violations).isEmpty();
+        }
+    }
+
+    @Nested
+    class CancellationWave {
+        /** Guards against a wave of cancellations that uses up the store's writes. */
+        @Test
+        void aWaveStaysWithinItsShareOfWritesAndEndsAllJobs() {
+            JobSimulation simulation = new JobSimulation(3, 4, condition -> false);
+            for (int i = 0; i < 400; i++) {
+                simulation.submit(simulation.spec("a", 1, 60_000, false, false));
+            }
+            simulation.run(5_000);
+            JobStore store = simulation.instances.get(0).store;
+            CancelBatcher batcher = new CancelBatcher(store, simulation.time, 4);
+            long before = simulation.table.actual().version();
+            for (JobId id : simulation.submitted) {
+                batcher.cancel(new Cancellation(new TeamId("a"), id));
+            }
+            int seconds = 6;
+            for (int i = 0; i < seconds * 10; i++) {
+                batcher.flush();
+                simulation.run(100);
+            }
+            long renewals = seconds / 2 + 1;
+            long finishes = 20;
+            assertThat(simulation.table.actual().version() - before)
+                    .isLessThanOrEqualTo(4 * seconds + 1 + renewals + finishes);
+            assertThat(simulation.submitted)
+                    .allSatisfy(
+                            id ->
+                                    assertThat(simulation.find(id).state())
+                                            .isEqualTo(JobState.CANCELLED));
+            assertThat(Audit.reconcile(simulation.ledger(), simulation.runner.executions()))
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    class NeverRunnable {
+        @Test
+        void aJobLargerThanAnyWorkerIsSetAsideWithItsSizes() {
+            JobSimulation simulation = new JobSimulation(4, 2, condition -> false);
+            JobId id = simulation.submit(simulation.spec("a", 9, 1_000, false, false));
+            simulation.run(5_000);
+            assertThat(simulation.find(id).state()).isEqualTo(JobState.SET_ASIDE);
+            assertThat(simulation.find(id).reason()).contains("9 slots", "8 slots");
+        }
+    }
 }
--- a/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.billing.LedgerEntry;
@@ -17,8 +18,10 @@
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.limit.LimitRow;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.InMemoryTable;
+import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
 
@@ -203,4 +206,54 @@
             assertThat(grantedUnits()).isEqualTo(1);
         }
     }
+
+    @Nested
+    class LedgerGuard {
+        /** Finishes one attempt from two stale views, as rows without versions would permit. */
+        private void finishTwice(Predicate<Condition> omitted) {
+            JobStore other = new JobStore(new InstanceTable(table, omitted), codecs);
+            StoredJob running = started("a");
+            StoredJob second = commitWithLimit(JobChange.start(submitted("b"), WORKER), 2);
+            assertThat(second.job().state()).isEqualTo(JobState.RUNNING);
+            for (long runMillis : new long[] {900, 400}) {
+                JobChange finish =
+                        JobChange.finish(
+                                running,
+                                ended(running, TaskState.SUCCEEDED, runMillis),
+                                JobState.SUCCEEDED,
+                                "");
+                join(other.commit(lease, List.of(finish), team -> 2));
+            }
+        }
+
+        private StoredJob commitWithLimit(JobChange change, int limit) {
+            Row row = join(table.read(JobKeys.limit(TEAM))).orElseThrow();
+            LimitRow raised = codecs.limit().decode(row.value()).withLimit(limit);
+            join(
+                    table.commit(
+                            Transaction.builder()
+                                    .replace(row, codecs.limit().encode(raised))
+                                    .build()));
+            return commit(change).orElseThrow().get(0);
+        }
+
+        /** Guards against a second bill, or units returned twice, if all other guards fail. */
+        @Test
+        void theAbsentLedgerRowAloneKeepsASecondFinishOut() {
+            finishTwice(condition -> condition.key().value().startsWith("job"));
+            assertThat(ledger()).extracting(LedgerEntry::runMillis).containsExactly(900L);
+            assertThat(grantedUnits()).isEqualTo(1);
+        }
+
+        /** Shows that the test above fails if the ledger is written without the condition. */
+        @Test
+        void withoutTheAbsentConditionTheBillChangesAndUnitsReturnTwice() {
+            finishTwice(
+                    condition ->
+                            condition.key().value().startsWith("job")
+                                    || condition.key().value().startsWith("ledger"));
+            assertThat(ledger()).extracting(LedgerEntry::runMillis).containsExactly(400L);
+            assertThat(grantedUnits()).isZero();
+        }
+    }
 }
