Wait for restarted instances before calling a change in force

Cause: a property test over instances, table and links with faults found two ways to call a change in force while an instance used an older revision. A process without the platform's list waited for nobody. A process that restarted and was cut off from the acceptor was taken for ended, because its address had refused a connection earlier.

Change: no change is in force before the list is known; a refused connection counts only if it was asked for after the change was known. An instance that was lost while the copy was not valid can have called a change in force, so the words of the others then renew the copy only after a table read or the word of an instance with a valid copy. A new process starts in that state.

Ruled out: renewal by the others' word whenever the lost instance refuses connections; the test "keepExpiredInstancesOutAfterTheAcceptorDied" fails with it. Renewal by one sibling; "areViolatedByRenewalThroughOneSibling" shows the violation.

--- a/core/src/main/java/org/quetzalscale/core/config/ConfigState.java
+++ b/core/src/main/java/org/quetzalscale/core/config/ConfigState.java
@@ -21,6 +21,7 @@
     private final ValidityTracker validity;
     private final InForceTracker inForce = new InForceTracker();
     private Revision seen = Revision.NONE;
+    private boolean listKnown;
 
     /** Starts with an empty copy that is not valid. */
     public ConfigState(InstanceId self) {
@@ -70,13 +71,14 @@
     }
 
     /**
-     * The known instances that may still accept work under a revision older than the given one;
-     * this instance is among them until it has applied the revision.
+     * The known instances that may still accept work under a revision older than the given one.
+     * This instance is among them until it has applied the revision, and until it has had the
+     * platform's list, without which it does not know whom to wait for.
      */
     public SortedSet<InstanceId> pending(Revision revision, long nowMillis) {
         SortedSet<InstanceId> pending =
-                new TreeSet<>(inForce.pending(revision, known.all(), nowMillis));
-        if (revision.isNewerThan(copy.revision())) {
+                new TreeSet<>(inForce.pending(revision, known.allWithRefusing(), nowMillis));
+        if (!listKnown || revision.isNewerThan(copy.revision())) {
             pending.add(self);
         }
         return pending;
@@ -111,6 +113,7 @@
 
     /** Takes the platform's list of entry instances. */
     public void list(List<Member> members, long nowMillis) {
+        listKnown = true;
         Set<InstanceId> before = known.all();
         known.list(members);
         Set<InstanceId> lost = new HashSet<>(before);
@@ -138,13 +141,18 @@
         inForce.acknowledge(sibling, nowMillis);
     }
 
-    /** Takes that another instance's address refused a connection. */
-    public void refused(InstanceId sibling, long nowMillis) {
+    /**
+     * Takes that another instance's address refused a connection.
+     *
+     * @param calledMillis when the connection was asked for
+     */
+    public void refused(InstanceId sibling, long calledMillis, long nowMillis) {
         boolean wasKnown = known.all().contains(sibling);
         known.refuse(sibling);
         if (wasKnown) {
-            lose(sibling, nowMillis);
+            validity.lose(sibling, nowMillis);
         }
+        inForce.end(sibling, calledMillis);
         evaluate(nowMillis);
     }
 
@@ -165,7 +173,7 @@
         }
         learn(statement.seen(), nowMillis);
         inForce.confirm(sibling, statement.applied());
-        validity.statement(sibling, askedMillis, statement, copy.revision());
+        validity.statement(sibling, askedMillis, statement);
         evaluate(nowMillis);
     }
 
@@ -177,8 +185,14 @@
     }
 
     private void meet(InstanceId sibling, long incarnation, long nowMillis) {
-        if (known.greet(sibling, incarnation)) {
-            lose(sibling, nowMillis);
+        Optional<Long> former = known.incarnation(sibling);
+        known.greet(sibling, incarnation);
+        if (former.isPresent() && former.get() == incarnation) {
+            return;
+        }
+        inForce.lose(sibling);
+        if (former.isPresent()) {
+            validity.lose(sibling, nowMillis);
         }
     }
 
--- a/core/src/main/java/org/quetzalscale/core/config/InForceTracker.java
+++ b/core/src/main/java/org/quetzalscale/core/config/InForceTracker.java
@@ -15,7 +15,9 @@
  * <p>That holds for an instance that confirmed the change. It also holds for one that acknowledged
  * this instance's hello, as it then needs this instance's word to use its copy without the table,
  * once {@link #EXPIRY_MILLIS} passed since this instance knew of the change and had that
- * acknowledgement. Not safe for use by several threads.
+ * acknowledgement. And it holds for one whose process was found ended after this instance knew of
+ * the change; an earlier end does not count, as a new process may run since. Not safe for use by
+ * several threads.
  */
 public final class InForceTracker {
     /** Validity plus a tenth, as clocks differ in speed; in milliseconds. */
@@ -27,6 +29,7 @@
     private final TreeMap<Revision, Long> learnedMillis = new TreeMap<>();
     private final Map<InstanceId, Revision> confirmed = new HashMap<>();
     private final Map<InstanceId, Long> acknowledgedMillis = new HashMap<>();
+    private final Map<InstanceId, Long> endedMillis = new HashMap<>();
 
     /** Takes that this instance now knows of a revision, and so of all before it. */
     public void learn(Revision revision, long nowMillis) {
@@ -49,17 +52,26 @@
         acknowledgedMillis.putIfAbsent(sibling, nowMillis);
     }
 
+    /** Takes that another instance's process was found ended by a call made at the given time. */
+    public void end(InstanceId sibling, long calledMillis) {
+        lose(sibling);
+        endedMillis.put(sibling, calledMillis);
+    }
+
     /** Forgets an instance that ended or was replaced by another process. */
     public void lose(InstanceId sibling) {
         confirmed.remove(sibling);
         acknowledgedMillis.remove(sibling);
+        endedMillis.remove(sibling);
     }
 
     /** The known instances that may still accept work under a revision older than the given one. */
     public SortedSet<InstanceId> pending(Revision revision, Set<InstanceId> known, long nowMillis) {
         SortedSet<InstanceId> pending = new TreeSet<>();
         for (InstanceId sibling : known) {
-            if (!hasConfirmed(sibling, revision) && !hasExpired(sibling, revision, nowMillis)) {
+            if (!hasConfirmed(sibling, revision)
+                    && !hasExpired(sibling, revision, nowMillis)
+                    && !hasEnded(sibling, revision)) {
                 pending.add(sibling);
             }
         }
@@ -70,6 +82,12 @@
         return !revision.isNewerThan(confirmed.getOrDefault(sibling, Revision.NONE));
     }
 
+    private boolean hasEnded(InstanceId sibling, Revision revision) {
+        Map.Entry<Revision, Long> learned = learnedMillis.ceilingEntry(revision);
+        Long ended = endedMillis.get(sibling);
+        return learned != null && ended != null && ended >= learned.getValue();
+    }
+
     private boolean hasExpired(InstanceId sibling, Revision revision, long nowMillis) {
         Map.Entry<Revision, Long> learned = learnedMillis.ceilingEntry(revision);
         Long acknowledged = acknowledgedMillis.get(sibling);
--- a/core/src/main/java/org/quetzalscale/core/config/KnownInstances.java
+++ b/core/src/main/java/org/quetzalscale/core/config/KnownInstances.java
@@ -41,6 +41,15 @@
         return Collections.unmodifiableSortedSet(known);
     }
 
+    /**
+     * The known instances and those that refused connections, which may have started again since.
+     */
+    public SortedSet<InstanceId> allWithRefusing() {
+        SortedSet<InstanceId> known = new TreeSet<>(all());
+        known.addAll(refusing);
+        return Collections.unmodifiableSortedSet(known);
+    }
+
     /** The process that runs under the id, if it was met. */
     public Optional<Long> incarnation(InstanceId id) {
         return Optional.ofNullable(incarnations.get(id));
@@ -60,19 +69,18 @@
                 listed.add(id);
             }
         }
+        refusing.retainAll(listed);
     }
 
     /**
      * Takes the greeting of an instance.
      *
      * @param incarnation differs for each process that runs under the id
-     * @return whether it replaces a process that was known under the id
      */
-    public boolean greet(InstanceId id, long incarnation) {
-        Long former = incarnations.put(id, incarnation);
+    public void greet(InstanceId id, long incarnation) {
+        incarnations.put(id, incarnation);
         met.add(id);
         refusing.remove(id);
-        return former != null && former != incarnation;
     }
 
     /** Takes the ids of instances that another instance knows. */
--- a/core/src/main/java/org/quetzalscale/core/config/ValidityTracker.java
+++ b/core/src/main/java/org/quetzalscale/core/config/ValidityTracker.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -16,13 +17,13 @@
  * Decides until when this instance's copy of the configuration may be used.
  *
  * <p>The copy is valid for {@link #VALIDITY_MILLIS} from the start of the last freshness check that
- * showed no newer revision: a read of the table, or the word of every other known instance. An
- * instance whose copy is not valid may also use it as long as an instance whose copy is valid.
+ * showed no newer revision: a read of the table, or the word of every other known instance.
  *
  * <p>An instance that ended or was replaced can no longer tell of a change that it accepted. If it
  * was lost while this copy was valid, it had not called such a change in force, so the others' word
- * suffices from then on. If it was lost while this copy was not valid, only the table or an
- * instance with a valid copy can make the copy valid again. Not safe for use by several threads.
+ * suffices from then on. If it was lost while this copy was not valid, and in a process that has
+ * just started, their word suffices only after a table read, or after one of them, asked after the
+ * loss, said that its own copy is valid. Not safe for use by several threads.
  */
 public final class ValidityTracker {
     /** Time for which a successful check makes the copy valid, in milliseconds. */
@@ -31,14 +32,12 @@
     /** Time of a check that never was. */
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 4;
 
-    /** Part of another instance's remaining validity that is used, as clocks differ in speed. */
-    private static final double CLOCK_MARGIN = 0.9;
-
     private final Function<Collection<OptionalLong>, OptionalLong> renewalRule;
     private final Map<InstanceId, Word> words = new HashMap<>();
     private long tableReadMillis = NEVER_MILLIS;
     private Revision tableRevision = Revision.NONE;
     private long validUntilMillis = NEVER_MILLIS;
+    private long lostMillis = NEVER_MILLIS;
     private boolean wordsSuffice;
 
     /** Starts with a copy that is not valid. */
@@ -56,7 +55,16 @@
         this.renewalRule = renewalRule;
     }
 
-    private record Word(long askedMillis, Revision seen) {}
+    /** A word that is the latest of its instance. */
+    private record Word(long askedMillis, Statement statement) {
+        boolean confirms(Revision copy) {
+            return !statement.seen().isNewerThan(copy);
+        }
+
+        boolean isOfValidCopy(Revision copy) {
+            return statement.validForMillis() > 0 && !statement.applied().isNewerThan(copy);
+        }
+    }
 
     /** Whether the copy may be used. */
     public boolean isValid(long nowMillis) {
@@ -84,16 +92,11 @@
      * Takes the word of another instance.
      *
      * @param askedMillis when it was asked
-     * @param copy the revision of this copy
      */
-    public void statement(
-            InstanceId sibling, long askedMillis, Statement statement, Revision copy) {
+    public void statement(InstanceId sibling, long askedMillis, Statement statement) {
         Word former = words.get(sibling);
         if (former == null || askedMillis >= former.askedMillis()) {
-            words.put(sibling, new Word(askedMillis, statement.seen()));
-        }
-        if (!statement.applied().isNewerThan(copy)) {
-            extend(askedMillis + (long) (statement.validForMillis() * CLOCK_MARGIN));
+            words.put(sibling, new Word(askedMillis, statement));
         }
     }
 
@@ -102,6 +105,7 @@
         words.remove(sibling);
         if (!isValid(nowMillis)) {
             wordsSuffice = false;
+            lostMillis = nowMillis;
         }
     }
 
@@ -118,21 +122,36 @@
         if (isValid(nowMillis)) {
             wordsSuffice = true;
         }
-        if (!wordsSuffice || known.isEmpty()) {
+        OptionalLong start = startOfWords(copy, known);
+        if (start.isEmpty() || nowMillis >= start.getAsLong() + VALIDITY_MILLIS) {
             return;
         }
+        if (wordsSuffice || isVouchedFor(copy, known)) {
+            wordsSuffice = true;
+            extend(start.getAsLong() + VALIDITY_MILLIS);
+        }
+    }
+
+    private OptionalLong startOfWords(Revision copy, Set<InstanceId> known) {
+        if (known.isEmpty()) {
+            return OptionalLong.empty();
+        }
         List<OptionalLong> asked = new ArrayList<>();
         for (InstanceId sibling : known) {
             asked.add(
                     Optional.ofNullable(words.get(sibling))
-                            .filter(word -> !word.seen().isNewerThan(copy))
+                            .filter(word -> word.confirms(copy))
                             .map(word -> OptionalLong.of(word.askedMillis()))
                             .orElseGet(OptionalLong::empty));
         }
-        OptionalLong start = renewalRule.apply(asked);
-        if (start.isPresent()) {
-            extend(start.getAsLong() + VALIDITY_MILLIS);
-        }
+        return renewalRule.apply(asked);
+    }
+
+    private boolean isVouchedFor(Revision copy, Set<InstanceId> known) {
+        return known.stream()
+                .map(words::get)
+                .filter(Objects::nonNull)
+                .anyMatch(word -> word.askedMillis() >= lostMillis && word.isOfValidCopy(copy));
     }
 
     private void extend(long untilMillis) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
@@ -82,13 +82,19 @@
         return thread;
     }
 
-    /** Sets the links to other instances; called before {@link #start}. */
+    /**
+     * Sets the links to other instances; called before {@link #start}. Without links this is the
+     * only instance.
+     */
     public void connect(SiblingLinks siblingLinks) {
         links = siblingLinks;
     }
 
     /** Starts to read the table; the copy becomes valid with the first successful check. */
     public void start() {
+        if (links == SiblingLinks.NONE) {
+            list(List.of());
+        }
         executor.scheduleAtFixedRate(this::check, 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         executor.scheduleAtFixedRate(
                 this::checkWaiters,
@@ -217,9 +223,9 @@
         update(() -> state.helloAck(sibling, process, mentioned, time.nowMillis()));
     }
 
-    /** Takes that an instance's address refused a connection. */
-    public void refused(InstanceId sibling) {
-        update(() -> state.refused(sibling, time.nowMillis()));
+    /** Takes that an instance's address refused a connection asked for at the given time. */
+    public void refused(InstanceId sibling, long calledMillis) {
+        update(() -> state.refused(sibling, calledMillis, time.nowMillis()));
     }
 
     /** Takes another instance's word, which it was asked for at the given time. */
