--- a/ctl/src/main/java/org/quetzalscale/ctl/command/KeyCreateCommand.java
+++ b/ctl/src/main/java/org/quetzalscale/ctl/command/KeyCreateCommand.java
@@ -4,9 +4,12 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import org.quetzalscale.core.id.KeyId;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.resource.KeySecret;
 import org.quetzalscale.core.resource.KeySpec;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.ctl.CtlException;
@@ -45,13 +48,15 @@
             throw new CtlException(ExitCode.USAGE, "key create requires --team <team>");
         }
         TeamId teamId = new TeamId(CommandArguments.requireName("team", team));
-        NewKey key = NewKey.random(name);
+        byte[] bits = new byte[KeySecret.RANDOM_BYTES];
+        new SecureRandom().nextBytes(bits);
+        KeySecret secret = KeySecret.of(new KeyId(name), bits);
         Resource resource =
-                Resource.declared(Kind.KEYS, name, new KeySpec(teamId, key.secretHash(), false));
+                Resource.declared(Kind.KEYS, name, new KeySpec(teamId, secret.hash(), false));
         Written written = session.resources().create(resource);
         ChangeReport report = new ChangeReport(session);
         report.add(Action.CREATED, resource, written, "");
-        report.secret(key.text());
+        report.secret(secret.reveal());
         report.finish();
     }
 }
