Add the protocol between entry instances

Cause: with several instances a change must reach all of them, and an instance that lost the table needs the word of the others.

Ruled out: one shared connection for both directions; it needs a rule for which side opens it, and a cut in one direction looks the same for both. An address outside the loopback network as the silent instance of a test; it was refused at once where the test ran.

Conclusion: a new instance starts from the others while the table is down, and writes wait for instances that do not answer.

--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
@@ -0,0 +1,305 @@
+package org.quetzalscale.daemon.sibling;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.quetzalscale.core.config.ChangeRecord;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.fleet.InstanceDirectory;
+import org.quetzalscale.core.fleet.Member;
+import org.quetzalscale.core.fleet.MemberRole;
+import org.quetzalscale.core.fleet.MemberState;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.Revision;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.time.TimeSource;
+import org.quetzalscale.daemon.config.ConfigService;
+import org.quetzalscale.daemon.config.SiblingLinks;
+import org.tinylog.Logger;
+
+/**
+ * The connections between this instance and all other entry instances. Each instance opens one to
+ * each other; on it, the one that opened it asks and distributes, and the other answers.
+ *
+ * <p>It has to listen for as long as the instance accepts writes: a refused connection tells the
+ * others that the process has ended.
+ */
+public final class SiblingMesh implements SiblingLinks {
+    private static final long PING_MILLIS = 500;
+    private static final long LIST_MILLIS = 1_000;
+    private static final long LOAD_MILLIS = 100;
+    private static final long MAX_LOAD_AGE_MILLIS = 1_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_ADDRESSES = 1_000;
+
+    private final InetSocketAddress bindAddress;
+    private final String ownAddress;
+    private final EventLoopGroup group;
+    private final ConfigService config;
+    private final InstanceDirectory directory;
+    private final SiblingHooks hooks;
+    private final TimeSource time;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Map<InstanceId, String> addresses = new ConcurrentHashMap<>();
+    private final Map<InstanceId, OutgoingLink> links = new ConcurrentHashMap<>();
+    private final Set<InstanceId> connecting = ConcurrentHashMap.newKeySet();
+    private volatile Set<InstanceId> listed = Set.of();
+    private volatile boolean stopped;
+    private List<ScheduledFuture<?>> tasks = List.of();
+    private Channel listener;
+    private Map<WorkerId, Integer> sentLoad = Map.of();
+    private long sentLoadMillis;
+
+    /**
+     * Creates a mesh without connections; the caller passes it to {@link ConfigService#connect}.
+     *
+     * @param ownAddress IP number and port at which others reach this instance, or empty for the
+     *     address that it listens on
+     * @param group event loops, owned by the caller
+     */
+    public SiblingMesh(
+            InetSocketAddress bindAddress,
+            String ownAddress,
+            EventLoopGroup group,
+            ConfigService config,
+            InstanceDirectory directory,
+            SiblingHooks hooks,
+            TimeSource time) {
+        this.bindAddress = bindAddress;
+        this.ownAddress = ownAddress;
+        this.group = group;
+        this.config = config;
+        this.directory = directory;
+        this.hooks = hooks;
+        this.time = time;
+    }
+
+    /** Listens and connects to the instances on the platform's list. */
+    public void start() {
+        listener =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer(this::incoming))
+                        .bind(bindAddress)
+                        .syncUninterruptibly()
+                        .channel();
+        tasks =
+                List.of(
+                        every(LIST_MILLIS, this::refreshList),
+                        every(PING_MILLIS, this::pingAll),
+                        every(LOAD_MILLIS, this::reportLoad));
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        stopped = true;
+        tasks.forEach(task -> task.cancel(false));
+        listener.close().syncUninterruptibly();
+        channels.close().awaitUninterruptibly();
+    }
+
+    @Override
+    public void distribute(ChangeRecord record) {
+        broadcast(new SiblingFrame.ChangeFrame(record));
+    }
+
+    @Override
+    public void fetch(Revision after) {
+        links.values().stream()
+                .filter(link -> link.isUp() && link.hasSeenMoreThan(after))
+                .findAny()
+                .ifPresent(link -> link.send(new SiblingFrame.SnapshotRequest(after)));
+    }
+
+    /** Tells all instances that a job was submitted. */
+    public void wakeJobs() {
+        broadcast(new SiblingFrame.JobWake());
+    }
+
+    private void broadcast(SiblingFrame frame) {
+        links.values().stream().filter(OutgoingLink::isUp).forEach(link -> link.send(frame));
+    }
+
+    private ScheduledFuture<?> every(long millis, Runnable task) {
+        Runnable guarded =
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        Logger.error(e, "periodic task of the sibling protocol failed");
+                    }
+                };
+        return group.next().scheduleAtFixedRate(guarded, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void refreshList() {
+        directory
+                .list(MemberRole.ENTRY)
+                .whenComplete(
+                        (members, failure) -> {
+                            if (failure == null) {
+                                takeList(members);
+                                return;
+                            }
+                            Logger.debug(
+                                    "list of instances not read: {}",
+                                    QuetzalscaleException.from(failure).getMessage());
+                        });
+    }
+
+    private void takeList(List<Member> members) {
+        Set<InstanceId> present = new HashSet<>();
+        for (Member member : members) {
+            InstanceId id = new InstanceId(member.name());
+            if (member.state() == MemberState.GONE) {
+                addresses.remove(id);
+                OutgoingLink link = links.remove(id);
+                if (link != null) {
+                    link.close();
+                }
+            } else if (!id.equals(config.self())) {
+                present.add(id);
+                addresses.put(id, member.address());
+            }
+        }
+        listed = present;
+        config.list(members);
+    }
+
+    private void pingAll() {
+        Set<InstanceId> wanted = new HashSet<>(config.known());
+        wanted.addAll(listed);
+        for (InstanceId id : wanted) {
+            OutgoingLink link = links.get(id);
+            if (link == null) {
+                dial(id);
+            } else if (link.isUp()) {
+                link.ping();
+            }
+        }
+    }
+
+    private void reportLoad() {
+        Map<WorkerId, Integer> load = Map.copyOf(hooks.ownLoad().get());
+        long nowMillis = time.nowMillis();
+        if (load.equals(sentLoad) && nowMillis - sentLoadMillis < MAX_LOAD_AGE_MILLIS) {
+            return;
+        }
+        sentLoad = load;
+        sentLoadMillis = nowMillis;
+        broadcast(new SiblingFrame.LoadReport(load));
+    }
+
+    private void dial(InstanceId id) {
+        String address = addresses.get(id);
+        if (address == null || !connecting.add(id)) {
+            return;
+        }
+        int colon = address.lastIndexOf(':');
+        String host = address.substring(0, colon).replaceAll("[\\[\\]]", "");
+        int port = Integer.parseInt(address.substring(colon + 1));
+        long calledMillis = time.nowMillis();
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(initializer(channel -> outgoing(channel, id)))
+                .connect(new InetSocketAddress(host, port))
+                .addListener(
+                        connected -> {
+                            connecting.remove(id);
+                            if (connected.isSuccess()) {
+                                greet(((ChannelFuture) connected).channel(), id);
+                            } else if (isRefusal(connected.cause())) {
+                                config.refused(id, calledMillis);
+                            }
+                        });
+    }
+
+    /** A refusal comes from the machine itself; a timeout may have any reason. */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException
+                && !(cause instanceof ConnectTimeoutException)
+                && String.valueOf(cause.getMessage()).contains("refused");
+    }
+
+    private void greet(Channel channel, InstanceId id) {
+        OutgoingLink link = links.get(id);
+        if (link == null || stopped) {
+            channel.close();
+            return;
+        }
+        link.send(new SiblingFrame.Hello(introduction()));
+    }
+
+    private SiblingFrame.Introduction introduction() {
+        Map<InstanceId, String> known = new HashMap<>();
+        for (InstanceId id : config.known()) {
+            String address = addresses.get(id);
+            if (address != null) {
+                known.put(id, address);
+            }
+        }
+        String address =
+                ownAddress.isEmpty() ? bindAddress.getHostString() + ":" + port() : ownAddress;
+        return new SiblingFrame.Introduction(config.self(), config.incarnation(), address, known);
+    }
+
+    private void introduced(SiblingFrame.Introduction introduction) {
+        if (addresses.size() < MAX_ADDRESSES) {
+            introduction.known().forEach(addresses::putIfAbsent);
+            addresses.put(introduction.id(), introduction.address());
+        }
+    }
+
+    private void incoming(SocketChannel channel) {
+        new IncomingConnection(channel, config, hooks, this::introduction, this::introduced);
+    }
+
+    private void outgoing(SocketChannel channel, InstanceId id) {
+        OutgoingLink link = new OutgoingLink(channel, id, config, time, this::introduced);
+        links.put(id, link);
+        channel.closeFuture().addListener(closed -> links.remove(id, link));
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(
+            java.util.function.Consumer<SocketChannel> setUp) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channels.add(channel);
+                setUp.accept(channel);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/package-info.java
@@ -0,0 +1,2 @@
+/** The protocol between entry instances. */
+package org.quetzalscale.daemon.sibling;
