Eject workers that fail all they start

Cause: a worker that fails at once looks idle and draws more work. At most a third of a pool is ejected; of the others the earliest ejected serve on. State is split into shards. Ruled out: counting refusals and departed callers as failures.

--- a/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
+++ b/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.core.route;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.quetzalscale.core.config.ConfigSnapshot;
@@ -20,7 +22,8 @@
 
 /**
  * Chooses a worker for each request: the better of two random eligible workers, judged by the
- * requests of this instance on it plus those that siblings reported. Safe for several threads.
+ * requests of this instance on it plus those that siblings reported. Ejects workers that fail all
+ * they start. Safe for several threads; the state of the workers is split into shards.
  */
 public final class WorkerChooser {
     /** Time for which a report of a sibling counts, in milliseconds; reports come each 100 ms. */
@@ -29,12 +32,18 @@
     /** Time for which a shutdown that a target announced counts, in milliseconds. */
     public static final long SHUTDOWN_VALID_MILLIS = 30_000;
 
+    /** Largest share of a pool's workers that are ejected at once; one of two or more may be. */
+    public static final double MAX_EJECTED_SHARE = 0.34;
+
+    private static final int SHARD_COUNT = 16;
+    private static final int MAX_ATTEMPTS = 3;
+
     private final ConfigSource config;
     private final Predicate<WorkerId> leaving;
     private final RandomGenerator random;
     private final TimeSource time;
-    private final ReentrantLock lock = new ReentrantLock();
-    private final Map<WorkerId, WorkerLoad> loads = new HashMap<>();
+    private final List<Shard> shards = new ArrayList<>();
+    private final ReentrantLock reportLock = new ReentrantLock();
     private final Map<InstanceId, SiblingReport> reports = new HashMap<>();
     private volatile PoolIndex index = PoolIndex.of(ConfigSnapshot.EMPTY);
 
@@ -53,106 +62,73 @@
         this.leaving = leaving;
         this.random = random;
         this.time = time;
+        for (int i = 0; i < SHARD_COUNT; i++) {
+            shards.add(new Shard());
+        }
     }
 
     /**
-     * Takes a slot on an eligible worker of the pool; empty if none has a free one. The slot is
-     * held until {@link #release}.
+     * Takes a slot on an eligible worker of the pool; empty if none has a free one, as far as
+     * known. The slot is held until {@link #release}.
      *
      * @param except workers that the request was sent to before
      */
     public Optional<Place> choose(PoolId pool, Set<WorkerId> except) {
-        List<Candidate> candidates = currentIndex().workers(pool);
         long nowMillis = time.nowMillis();
-        lock.lock();
-        try {
-            List<Candidate> eligible = new ArrayList<>(candidates.size());
-            for (Candidate candidate : candidates) {
-                if (!except.contains(candidate.worker()) && takesWork(candidate, nowMillis)) {
-                    eligible.add(candidate);
-                }
-            }
+        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+            List<Candidate> eligible =
+                    eligible(pool, nowMillis).stream()
+                            .filter(candidate -> !except.contains(candidate.worker()))
+                            .filter(candidate -> hasFreeSlot(candidate, nowMillis))
+                            .toList();
             if (eligible.isEmpty()) {
                 return Optional.empty();
             }
             Candidate chosen = betterOfTwo(eligible);
-            load(chosen.worker()).own++;
-            return Optional.of(new Place(chosen.worker(), chosen.address()));
-        } finally {
-            lock.unlock();
+            if (start(chosen, nowMillis)) {
+                return Optional.of(new Place(chosen.worker(), chosen.address()));
+            }
         }
+        return Optional.empty();
     }
 
     /** Whether any worker of the pool could take work if it had a free slot. */
     public boolean servesPool(PoolId pool) {
-        long nowMillis = time.nowMillis();
-        for (Candidate candidate : currentIndex().workers(pool)) {
-            lock.lock();
-            try {
-                if (isEligible(candidate, nowMillis)) {
-                    return true;
-                }
-            } finally {
-                lock.unlock();
-            }
-        }
-        return false;
+        return !eligible(pool, time.nowMillis()).isEmpty();
+    }
+
+    /** Slots of the pool's eligible workers, those in use by siblings included. */
+    public int slots(PoolId pool) {
+        return eligible(pool, time.nowMillis()).stream().mapToInt(Candidate::slots).sum();
     }
 
     /** Gives a slot back and records how the attempt on it ended. */
     public void release(WorkerId worker, AttemptOutcome outcome) {
-        lock.lock();
-        try {
-            WorkerLoad load = load(worker);
-            load.own--;
-        } finally {
-            lock.unlock();
-        }
+        long nowMillis = time.nowMillis();
+        with(
+                worker,
+                load -> {
+                    load.finish(outcome, nowMillis);
+                    return null;
+                });
     }
 
     /** Takes over what a sibling reported: its requests in flight by worker. */
     public void report(InstanceId sibling, Map<WorkerId, Integer> inFlight) {
-        lock.lock();
+        reportLock.lock();
         try {
             drop(sibling);
             reports.put(sibling, new SiblingReport(time.nowMillis(), inFlight));
-            inFlight.forEach((worker, count) -> load(worker).siblings += count);
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    /** Requests of this instance in flight by worker, for the report to siblings. */
-    public Map<WorkerId, Integer> inFlight() {
-        lock.lock();
-        try {
-            Map<WorkerId, Integer> counts = new TreeMap<>();
-            loads.forEach(
-                    (worker, load) -> {
-                        if (load.own > 0) {
-                            counts.put(worker, load.own);
-                        }
-                    });
-            return counts;
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    /** Notes that a target announced its shutdown, such as by {@code Connection: close}. */
-    public void announceShutdown(WorkerId worker) {
-        lock.lock();
-        try {
-            load(worker).shutdownUntilMillis = time.nowMillis() + SHUTDOWN_VALID_MILLIS;
+            inFlight.forEach((worker, count) -> addSiblings(worker, count));
         } finally {
-            lock.unlock();
+            reportLock.unlock();
         }
     }
 
     /** Drops reports of siblings that have sent none for a second. */
     public void expireReports() {
         long nowMillis = time.nowMillis();
-        lock.lock();
+        reportLock.lock();
         try {
             List<InstanceId> silent = new ArrayList<>();
             reports.forEach(
@@ -163,10 +139,68 @@
                     });
             silent.forEach(this::drop);
         } finally {
-            lock.unlock();
+            reportLock.unlock();
         }
     }
 
+    /** Requests of this instance in flight by worker, for the report to siblings. */
+    public Map<WorkerId, Integer> inFlight() {
+        Map<WorkerId, Integer> counts = new TreeMap<>();
+        for (Shard shard : shards) {
+            shard.lock.lock();
+            try {
+                shard.loads.forEach(
+                        (worker, load) -> {
+                            if (load.own > 0) {
+                                counts.put(worker, load.own);
+                            }
+                        });
+            } finally {
+                shard.lock.unlock();
+            }
+        }
+        return counts;
+    }
+
+    /** Notes that a target announced its shutdown, such as by {@code Connection: close}. */
+    public void announceShutdown(WorkerId worker) {
+        long untilMillis = time.nowMillis() + SHUTDOWN_VALID_MILLIS;
+        with(
+                worker,
+                load -> {
+                    load.announceShutdown(untilMillis);
+                    return null;
+                });
+    }
+
+    /** Whether this instance has ejected the worker for its failures. */
+    public boolean isEjected(WorkerId worker) {
+        long nowMillis = time.nowMillis();
+        return with(worker, load -> load.isEjected(nowMillis));
+    }
+
+    /** Workers of the pool that take work; of the ejected ones, those above the largest share. */
+    private List<Candidate> eligible(PoolId pool, long nowMillis) {
+        List<Candidate> working = new ArrayList<>();
+        List<Candidate> ejected = new ArrayList<>();
+        for (Candidate candidate : currentIndex().workers(pool)) {
+            WorkerId worker = candidate.worker();
+            if (leaving.test(worker) || with(worker, load -> load.isShuttingDown(nowMillis))) {
+                continue;
+            }
+            (with(worker, load -> load.isEjected(nowMillis)) ? ejected : working).add(candidate);
+        }
+        int count = working.size() + ejected.size();
+        int permitted = Math.max(count > 1 ? 1 : 0, (int) (count * MAX_EJECTED_SHARE));
+        if (ejected.size() > permitted) {
+            ejected.sort(
+                    Comparator.comparingLong(
+                            candidate -> with(candidate.worker(), WorkerLoad::ejectedUntilMillis)));
+            working.addAll(ejected.subList(0, ejected.size() - permitted));
+        }
+        return working;
+    }
+
     private PoolIndex currentIndex() {
         ConfigSnapshot snapshot = config.snapshot();
         PoolIndex current = index;
@@ -177,29 +211,64 @@
         return current;
     }
 
-    private boolean takesWork(Candidate candidate, long nowMillis) {
-        return load(candidate.worker()).own < candidate.slots() && isEligible(candidate, nowMillis);
+    private boolean hasFreeSlot(Candidate candidate, long nowMillis) {
+        return with(candidate.worker(), load -> load.hasFreeSlot(candidate.slots(), nowMillis));
     }
 
-    private boolean isEligible(Candidate candidate, long nowMillis) {
-        WorkerLoad load = load(candidate.worker());
-        return nowMillis >= load.shutdownUntilMillis && !leaving.test(candidate.worker());
+    private boolean start(Candidate candidate, long nowMillis) {
+        return with(
+                candidate.worker(),
+                load -> {
+                    if (!load.hasFreeSlot(candidate.slots(), nowMillis)) {
+                        return false;
+                    }
+                    load.start();
+                    return true;
+                });
     }
 
     private Candidate betterOfTwo(List<Candidate> eligible) {
-        Candidate first = eligible.get(random.nextInt(eligible.size()));
-        Candidate second = eligible.get(random.nextInt(eligible.size()));
-        return load(second.worker()).total() < load(first.worker()).total() ? second : first;
+        if (eligible.size() == 1) {
+            return eligible.get(0);
+        }
+        int firstAt = random.nextInt(eligible.size());
+        int secondAt = random.nextInt(eligible.size() - 1);
+        Candidate first = eligible.get(firstAt);
+        Candidate second = eligible.get(secondAt < firstAt ? secondAt : secondAt + 1);
+        return with(second.worker(), WorkerLoad::total) < with(first.worker(), WorkerLoad::total)
+                ? second
+                : first;
     }
 
     private void drop(InstanceId sibling) {
         SiblingReport former = reports.remove(sibling);
         if (former != null) {
-            former.inFlight().forEach((worker, count) -> load(worker).siblings -= count);
+            former.inFlight().forEach((worker, count) -> addSiblings(worker, -count));
+        }
+    }
+
+    private void addSiblings(WorkerId worker, int count) {
+        with(
+                worker,
+                load -> {
+                    load.siblings += count;
+                    return null;
+                });
+    }
+
+    private <T> T with(WorkerId worker, Function<WorkerLoad, T> action) {
+        Shard shard = shards.get(Math.floorMod(worker.hashCode(), SHARD_COUNT));
+        shard.lock.lock();
+        try {
+            return action.apply(shard.loads.computeIfAbsent(worker, id -> new WorkerLoad()));
+        } finally {
+            shard.lock.unlock();
         }
     }
 
-    private WorkerLoad load(WorkerId worker) {
-        return loads.computeIfAbsent(worker, id -> new WorkerLoad());
+    /** Workers that fall on one lock. */
+    private static final class Shard {
+        private final ReentrantLock lock = new ReentrantLock();
+        private final Map<WorkerId, WorkerLoad> loads = new HashMap<>();
     }
 }
