Queue fairly among teams, with retry budget and early refusals

Cause: a burst of one team must not delay the others, and a request that can't end in time should be refused before it uses a slot. Change: PoolQueue picks the class with the least slot time for its share and corrects the charge when a request ends; urgent requests go first within their class. Waiting is bounded per queue resource. A request is refused early if the recent service times say that it can't end by its deadline; without a sample in ten seconds nothing is refused by estimate. RetryBudget bounds retries per pool to a fifth of the requests of ten seconds plus ten. A unit whose request broke off or was abandoned is held until the request's deadline, because the target may still run it, and a retry after a broken attempt takes a further unit. Ruled out: counting running requests instead of slot time, which gives a team with long requests more than its share; charging refused attempts to the retry budget, because they did not run. Figures: with shares 3 and 1 and 204 starts, the tests see 148 to 158 starts of the larger team. Forty failing requests get 18 retries. Conclusion: the tests of fairness, refusals, cancellation and units pass.

--- a/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
+++ b/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
@@ -153,11 +153,11 @@
     }
 
     @Override
-    public void waiting(TeamId team, int count) {
+    public void addWaiting(TeamId team, int change) {
         Shard shard = shard(team);
         shard.lock.lock();
         try {
-            shard.block(team).waiting = count;
+            shard.block(team).waiting += change;
         } finally {
             shard.lock.unlock();
         }
--- a/core/src/main/java/org/quetzalscale/core/limit/TeamUnits.java
+++ b/core/src/main/java/org/quetzalscale/core/limit/TeamUnits.java
@@ -16,6 +16,10 @@
      */
     boolean isUsedUp(TeamId team);
 
-    /** Tells how many requests of the team wait here for a unit. */
-    void waiting(TeamId team, int count);
+    /**
+     * Tells that more or fewer requests of the team wait here.
+     *
+     * @param change added to the number of waiting requests
+     */
+    void addWaiting(TeamId team, int change);
 }
--- a/core/src/main/java/org/quetzalscale/core/queue/HeldAssignment.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/HeldAssignment.java
@@ -1,6 +1,5 @@
 package org.quetzalscale.core.queue;
 
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.quetzalscale.core.id.WorkerId;
@@ -12,22 +11,31 @@
     private final Waiting entry;
     private final Place place;
     private final Set<WorkerId> triedBefore;
-
-    HeldAssignment(FairAdmission admission, Waiting entry, Place place, Set<WorkerId> triedBefore) {
+    private final Charge charge;
+
+    HeldAssignment(
+            FairAdmission admission,
+            Waiting entry,
+            Place place,
+            Set<WorkerId> triedBefore,
+            Charge charge) {
         this.admission = admission;
         this.entry = entry;
         this.place = place;
         this.triedBefore = triedBefore;
+        this.charge = charge;
     }
 
     Waiting entry() {
         return entry;
     }
 
-    Set<WorkerId> triedWithThis() {
-        Set<WorkerId> tried = new HashSet<>(triedBefore);
-        tried.add(place.worker());
-        return tried;
+    Set<WorkerId> triedBefore() {
+        return triedBefore;
+    }
+
+    Charge charge() {
+        return charge;
     }
 
     @Override
@@ -47,6 +55,6 @@
 
     @Override
     public void finish(AttemptOutcome outcome) {
-        admission.finish(this, outcome);
+        admission.finish(this, outcome, true);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/queue/Waiting.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/Waiting.java
@@ -7,12 +7,17 @@
 final class Waiting {
     final AdmissionRequest request;
     final PoolId pool;
-    final long arrivedMillis;
     final CompletableFuture<Assignment> answer = new CompletableFuture<>();
 
-    Waiting(AdmissionRequest request, PoolId pool, long arrivedMillis) {
+    /** Whether it is in its pool's queue. Guarded by the lock of the pool's shard. */
+    boolean isQueued;
+
+    /** Weight of its class. */
+    final double share;
+
+    Waiting(AdmissionRequest request, PoolId pool, double share) {
         this.request = request;
         this.pool = pool;
-        this.arrivedMillis = arrivedMillis;
+        this.share = share;
     }
 }
--- a/core/src/test/java/org/quetzalscale/core/limit/BlockHolderTest.java
+++ b/core/src/test/java/org/quetzalscale/core/limit/BlockHolderTest.java
@@ -61,7 +61,7 @@
     }
 
     private static int acquire(BlockHolder holder, int count) {
-        holder.waiting(TEAM, count);
+        holder.addWaiting(TEAM, count);
         holder.tick();
         return (int) IntStream.range(0, count).filter(i -> holder.tryAcquire(TEAM)).count();
     }
@@ -128,7 +128,7 @@
             BlockHolder second = holder("i-2");
             assertThat(acquire(first, 4)).isEqualTo(4);
             IntStream.range(0, 4).forEach(i -> first.release(TEAM));
-            first.waiting(TEAM, 0);
+            first.addWaiting(TEAM, -4);
             assertThat(acquire(second, 4)).isZero();
             time.advance(2_000);
             first.tick();
@@ -141,8 +141,7 @@
             BlockHolder first = holder("i-1");
             BlockHolder second = holder("i-2");
             assertThat(acquire(first, 4)).isEqualTo(4);
-            first.waiting(TEAM, 4);
-            second.waiting(TEAM, 8);
+            second.addWaiting(TEAM, 8);
             second.tick();
             first.tick();
             first.release(TEAM);
--- a/core/src/test/java/org/quetzalscale/core/limit/HolderFleet.java
+++ b/core/src/test/java/org/quetzalscale/core/limit/HolderFleet.java
@@ -71,7 +71,7 @@
             case 6, 7, 8, 9, 10 -> instance.start();
             case 11, 12 -> instance.finish();
             case 13, 14 -> instance.tick();
-            case 15 -> instance.holder.waiting(TEAM, random.nextInt(6));
+            case 15 -> instance.setWaiting(random.nextInt(6));
             default -> instance.step();
         }
         observe();
@@ -161,6 +161,7 @@
         private boolean paused;
         private long lastTickMillis;
         private int running;
+        private int waiting;
 
         Instance(String name) {
             this.name = name;
@@ -185,6 +186,7 @@
                             quarantineMillis);
             paused = false;
             running = 0;
+            waiting = 0;
             lastTickMillis = time.nowMillis();
         }
 
@@ -220,6 +222,11 @@
             }
         }
 
+        void setWaiting(int count) {
+            holder.addWaiting(TEAM, count - waiting);
+            waiting = count;
+        }
+
         void finishAll() {
             paused = false;
             while (running > 0) {
--- a/core/src/test/java/org/quetzalscale/core/queue/CountedUnits.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/CountedUnits.java
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public void waiting(TeamId team, int count) {
-        waiting.put(team, count);
+    public void addWaiting(TeamId team, int change) {
+        waiting.merge(team, change, Integer::sum);
     }
 }
--- a/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
@@ -3,8 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -13,6 +17,7 @@
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.retry.RetryBudget;
 import org.quetzalscale.core.route.WorkerChooser;
 import org.quetzalscale.core.time.VirtualTime;
 
@@ -23,16 +28,22 @@
     private final CountedUnits units = new CountedUnits();
     private final WorkerChooser workers =
             new WorkerChooser(config, worker -> false, new Random(7), time);
-    private final FairAdmission admission = new FairAdmission(config, units, workers, time);
+    private final FairAdmission admission =
+            new FairAdmission(config, units, workers, new RetryBudget(time), time);
 
     private CompletableFuture<Assignment> admit(String queue, String team) {
+        return request(queue, team, false, 1_000);
+    }
+
+    private CompletableFuture<Assignment> request(
+            String queue, String team, boolean urgent, long timeoutMillis) {
         return admission
                 .admit(
                         new AdmissionRequest(
                                 new QueueId(queue),
                                 Optional.ofNullable(team).map(TeamId::new),
-                                false,
-                                time.nowMillis() + 1_000))
+                                urgent,
+                                time.nowMillis() + timeoutMillis))
                 .toCompletableFuture();
     }
 
@@ -121,6 +132,125 @@
         }
     }
 
+    /** Guards against a team that takes more than its share of a full pool. */
+    @Nested
+    final class Fairness {
+        private final Map<String, Integer> served = new TreeMap<>();
+        private final Deque<Assignment> running = new ArrayDeque<>();
+
+        private void backlog(String team, int count, boolean urgent) {
+            units.grant(team, 100);
+            for (int i = 0; i < count; i++) {
+                request("deep", team, urgent, 1_000_000)
+                        .thenAccept(
+                                assignment -> {
+                                    served.merge(team, 1, Integer::sum);
+                                    running.add(assignment);
+                                });
+            }
+        }
+
+        @Test
+        void dividesSlotTimeByShare() {
+            config.worker("w1", 4).queue("deep", false, 1_000).team("a", 3, 100).team("b", 1, 100);
+            backlog("a", 300, false);
+            backlog("b", 300, false);
+            for (int i = 0; i < 200; i++) {
+                time.advance(10);
+                running.poll().finish(AttemptOutcome.ANSWERED);
+            }
+            assertThat(served.get("a")).isBetween(148, 158);
+            assertThat(served.get("b")).isBetween(46, 56);
+        }
+
+        @Test
+        void startsUrgentRequestsOfATeamFirst() {
+            config.worker("w1", 1).queue("deep", false, 1_000).team("a", 1, 100);
+            backlog("a", 3, false);
+            CompletableFuture<Assignment> urgent = request("deep", "a", true, 1_000_000);
+            running.poll().finish(AttemptOutcome.ANSWERED);
+            assertThat(urgent).isCompleted();
+        }
+
+        @Test
+        void passesOverATeamWithoutUnits() {
+            config.worker("w1", 4).queue("deep", false, 1_000).team("a", 1, 1).team("b", 1, 9);
+            units.grant("a", 1).grant("b", 9).moreElsewhere();
+            admit("deep", "a");
+            assertThat(admit("deep", "a")).isNotDone();
+            assertThat(admit("deep", "b")).isCompleted();
+            assertThat(units.waiting("a")).isEqualTo(1);
+        }
+    }
+
+    /** Guards against waits that can only end late, and against refusals without evidence. */
+    @Nested
+    final class Estimates {
+        @Test
+        void refusesARequestThatTheQueueCanNotServeInTime() {
+            config.worker("w1", 1).queue("deep", true, 100);
+            Assignment first = admit("deep", null).join();
+            time.advance(400);
+            first.finish(AttemptOutcome.ANSWERED);
+            assertThat(admit("deep", null)).isCompleted();
+            assertThat(admit("deep", null)).isNotDone();
+            assertThat(admit("deep", null)).isNotDone();
+            assertThat(kind(admit("deep", null))).isEqualTo(ErrorKind.DEADLINE_EXCEEDED);
+        }
+
+        @Test
+        void forgetsOldServiceTimes() {
+            config.worker("w1", 1).queue("deep", true, 100);
+            Assignment first = request("deep", null, false, 20_000).join();
+            time.advance(5_000);
+            first.finish(AttemptOutcome.ANSWERED);
+            assertThat(kind(admit("deep", null))).isEqualTo(ErrorKind.DEADLINE_EXCEEDED);
+            time.advance(10_000);
+            assertThat(admit("deep", null)).isCompleted();
+        }
+    }
+
+    /** Guards against units that are free while a target may still run their request. */
+    @Nested
+    final class AttemptsThatMayStillRun {
+        @Test
+        void holdsTheUnitUntilTheDeadline() {
+            config.worker("w1", 8);
+            units.grant("a", 1);
+            admit("labs", "a").join().finish(AttemptOutcome.BROKEN);
+            assertThat(units.free("a")).isZero();
+            time.advance(1_000);
+            admission.tick();
+            assertThat(units.free("a")).isEqualTo(1);
+        }
+
+        @Test
+        void takesAFurtherUnitForTheRetry() {
+            config.worker("w1", 8).worker("w2", 8);
+            units.grant("a", 1);
+            Assignment first = admit("labs", "a").join();
+            assertThat(first.retryElsewhere(AttemptOutcome.BROKEN)).isEmpty();
+            units.grant("a", 1);
+            Assignment second = first.retryElsewhere(AttemptOutcome.BROKEN).orElseThrow();
+            second.finish(AttemptOutcome.ANSWERED);
+            assertThat(units.free("a")).isEqualTo(1);
+        }
+    }
+
+    /** Guards against retries that multiply the load of a failing pool. */
+    @Test
+    void boundsRetriesByTheBudget() {
+        config.worker("w1", 8).worker("w2", 8);
+        int retries = 0;
+        for (int i = 0; i < 40; i++) {
+            Assignment first = admit("open", null).join();
+            Optional<Assignment> second = first.retryElsewhere(AttemptOutcome.UNREACHABLE);
+            retries += second.isPresent() ? 1 : 0;
+            second.orElse(first).finish(AttemptOutcome.ANSWERED);
+        }
+        assertThat(retries).isEqualTo(18);
+    }
+
     /** Guards against a second attempt on the worker that just failed. */
     @Test
     void retriesOnAnotherWorker() {
