Wire blocks, siblings, metrics and jobs into the daemon

Cause: the daemon ran without upper limits and without links to its siblings, so a second instance never confirmed a change; keys that the operator interface made were refused by the caller port.

Change: Daemon uses BlockHolder, RetryBudget, SiblingMesh, DaemonMetrics and JobRoutes. KeyVerifier hashes the 32 random bytes by KeySecret, as the operator interface does; before, it hashed the hexadecimal text. Text that starts with qk_ but is no key is still refused on open queues. The registration with the platform takes the sibling port when it is known.

Ruled out: choosing a free sibling port before binding it, which another process could take meanwhile.

--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
@@ -12,26 +13,36 @@
 import org.quetzalscale.core.fleet.Member;
 import org.quetzalscale.core.fleet.MemberRole;
 import org.quetzalscale.core.fleet.MemberState;
+import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.limit.BlockHolder;
+import org.quetzalscale.core.limit.GoneHolders;
+import org.quetzalscale.core.limit.LimitRow;
 import org.quetzalscale.core.queue.FairAdmission;
+import org.quetzalscale.core.retry.RetryBudget;
 import org.quetzalscale.core.route.WorkerChooser;
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.caller.CallerLimits;
 import org.quetzalscale.daemon.caller.CallerServer;
 import org.quetzalscale.daemon.config.ConfigService;
+import org.quetzalscale.daemon.job.JobRoutes;
 import org.quetzalscale.daemon.job.JobService;
+import org.quetzalscale.daemon.metrics.DaemonMetrics;
+import org.quetzalscale.daemon.metrics.MetricSources;
 import org.quetzalscale.daemon.operator.OperatorHooks;
 import org.quetzalscale.daemon.operator.OperatorServer;
 import org.quetzalscale.daemon.platform.DirectoryWatch;
 import org.quetzalscale.daemon.platform.Platform;
 import org.quetzalscale.daemon.settings.Settings;
+import org.quetzalscale.daemon.sibling.SiblingHooks;
+import org.quetzalscale.daemon.sibling.SiblingMesh;
 import org.quetzalscale.daemon.target.TargetClient;
 import org.quetzalscale.daemon.target.TargetLimits;
 import org.quetzalscale.net.EventLoops;
+import org.quetzalscale.net.json.Json;
 import org.tinylog.Logger;
 
 /** One entry instance: all services of the process, started and stopped in order. */
 public final class Daemon {
-    private static final long ADMISSION_TICK_MILLIS = 20;
     private static final long PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long DRAIN_MARGIN_MILLIS = 5_000;
 
@@ -47,7 +58,10 @@
     private final Platform platform;
     private final DirectoryWatch directory;
     private final ConfigService config;
+    private final BlockHolder units;
     private final FairAdmission admission;
+    private final SiblingMesh siblings;
+    private final DaemonMetrics metrics;
     private final TargetClient targets;
     private final CallerServer callers;
     private final OperatorServer operators;
@@ -60,49 +74,41 @@
         TimeSource time = TimeSource.system();
         this.settings = settings;
         loops = EventLoops.create(settings.eventLoopThreads(), "io");
-        platform = platform(settings, time);
+        platform = platform();
         directory = new DirectoryWatch(platform.directory(), executor);
+        GoneHolders gone = new GoneHolders();
+        directory.addEntryListener(members -> gone.observe(members, time.nowMillis()));
         config =
                 new ConfigService(
                         settings.instanceId(), platform.table(), platform.objects(), time);
-        directory.addEntryListener(config::list);
         WorkerChooser workers = new WorkerChooser(config, directory::isLeaving, new Random(), time);
-        admission = new FairAdmission(config, new UnenforcedUnits(), workers, time);
-        targets = new TargetClient(time, TargetLimits.defaults(), address -> {});
-        callers =
-                new CallerServer(
-                        settings.callerAddress(),
-                        loops,
-                        config,
-                        admission,
-                        new UnavailableIntentLog(),
+        units =
+                new BlockHolder(
+                        settings.instanceId(),
+                        platform.table(),
+                        Json.codec(LimitRow.class),
                         time,
-                        targets,
-                        callerLimits(settings));
-        operators =
-                new OperatorServer(
-                        settings.operatorAddress(),
-                        loops,
-                        settings.operatorToken().orElse(""),
-                        config,
-                        new OperatorHooks(
-                                () -> ready,
-                                () -> "",
-                                java.util.Map::of,
-                                (kind, name) -> java.util.Map.of()));
+                        holder -> gone.isReclaimable(holder, time.nowMillis()),
+                        this::unitsArrived,
+                        executor);
+        admission = new FairAdmission(config, units, workers, new RetryBudget(time), time);
+        siblings = siblings(workers, time);
+        config.connect(siblings);
+        metrics = metrics(workers);
         jobs = new JobService(platform.table(), platform.tasks(), config, settings.instanceId());
+        targets = new TargetClient(time, TargetLimits.defaults(), address -> {});
+        callers = callers(time);
+        operators = operators();
     }
 
     /** Starts all services; fails if a port can't be bound. */
     public void start() {
+        siblings.start();
         platform.start();
         directory.start();
         config.start();
-        executor.scheduleWithFixedDelay(
-                admission::tick,
-                ADMISSION_TICK_MILLIS,
-                ADMISSION_TICK_MILLIS,
-                TimeUnit.MILLISECONDS);
+        every(FairAdmission.TICK_MILLIS, admission::tick);
+        every(BlockHolder.TICK_MILLIS, units::tick);
         jobs.start();
         callers.start();
         operators.start();
@@ -139,7 +145,10 @@
             Logger.warn("{} requests still ran at the bound and are cut", left);
         }
         callers.stop();
+        units.stop();
+        await("returning units", units.tick(), PLATFORM_TIMEOUT_MILLIS);
         jobs.stop();
+        siblings.stop();
         operators.stop();
         config.stop();
         directory.stop();
@@ -151,19 +160,91 @@
         stopped.countDown();
     }
 
-    private Platform platform(Settings values, TimeSource time) {
-        String address =
-                values.siblingAddress().getHostString() + ":" + values.siblingAddress().getPort();
-        Member self =
-                new Member(
-                        values.instanceId().value(),
-                        MemberRole.ENTRY,
-                        values.zone(),
-                        address,
-                        MemberState.LIVE);
-        return values.platformAddress()
-                .map(remote -> Platform.connect(remote, loops, self))
-                .orElseGet(() -> Platform.embedded(loops, self, time));
+    private Platform platform() {
+        return settings.platformAddress()
+                .map(
+                        remote ->
+                                Platform.connect(
+                                        remote,
+                                        loops,
+                                        settings.instanceId().value(),
+                                        () -> self(siblingPort())))
+                .orElseGet(
+                        () ->
+                                Platform.embedded(
+                                        loops,
+                                        self(settings.siblingAddress().getPort()),
+                                        TimeSource.system()));
+    }
+
+    private int siblingPort() {
+        return siblings.port();
+    }
+
+    private Member self(int siblingPort) {
+        return new Member(
+                settings.instanceId().value(),
+                MemberRole.ENTRY,
+                settings.zone(),
+                settings.siblingAddress().getHostString() + ":" + siblingPort,
+                MemberState.LIVE);
+    }
+
+    private SiblingMesh siblings(WorkerChooser workers, TimeSource time) {
+        SiblingHooks hooks = new SiblingHooks(workers::inFlight, workers::report, () -> {});
+        return new SiblingMesh(
+                settings.siblingAddress(), "", loops, config, platform.directory(), hooks, time);
+    }
+
+    private DaemonMetrics metrics(WorkerChooser workers) {
+        return new DaemonMetrics(
+                new MetricSources(
+                        () -> workers.inFlight().values().stream().mapToInt(n -> n).sum(),
+                        () -> config.snapshot().revision().value(),
+                        config::isValid,
+                        Map::of,
+                        Map::of));
+    }
+
+    private CallerServer callers(TimeSource time) {
+        return new CallerServer(
+                settings.callerAddress(),
+                loops,
+                config,
+                admission,
+                new UnavailableIntentLog(),
+                time,
+                targets,
+                callerLimits(settings),
+                metrics,
+                new JobRoutes(jobs.handlers(), siblings::wakeJobs));
+    }
+
+    private OperatorServer operators() {
+        return new OperatorServer(
+                settings.operatorAddress(),
+                loops,
+                settings.operatorToken().orElse(""),
+                config,
+                new OperatorHooks(() -> ready, metrics::text, Map::of, (kind, name) -> Map.of()));
+    }
+
+    private void unitsArrived(TeamId team) {
+        admission.unitsArrived(team);
+    }
+
+    private void every(long periodMillis, Runnable task) {
+        executor.scheduleWithFixedDelay(
+                () -> runGuarded(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** An exception would end the periodic task. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "periodic task failed");
+        }
     }
 
     private static CallerLimits callerLimits(Settings values) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/KeyVerifier.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/KeyVerifier.java
@@ -1,9 +1,5 @@
 package org.quetzalscale.daemon.caller;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -11,12 +7,12 @@
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.KeyId;
+import org.quetzalscale.core.resource.KeySecret;
 import org.quetzalscale.core.resource.KeySpec;
 
 /** Verifies the keys that callers present. No message contains any part of a secret. */
 final class KeyVerifier {
-    private static final Pattern BEARER_KEY =
-            Pattern.compile("[Bb]earer +qk_([a-z0-9.-]{1,63})_([!-~]{1,256})");
+    private static final Pattern BEARER = Pattern.compile("[Bb]earer +([!-~]{1,512})");
 
     private KeyVerifier() {}
 
@@ -29,8 +25,8 @@
      */
     static Optional<VerifiedKey> verify(
             ConfigSnapshot snapshot, String authorization, boolean open) {
-        Matcher matcher = BEARER_KEY.matcher(authorization == null ? "" : authorization);
-        if (!matcher.matches()) {
+        Optional<KeySecret> presented = secret(authorization);
+        if (presented.isEmpty()) {
             if (open) {
                 return Optional.empty();
             }
@@ -39,16 +35,12 @@
                             ErrorKind.KEY_MISSING, "the request has no Authorization header")
                     : unknown();
         }
-        byte[] presented = sha256(matcher.group(2));
-        Optional<KeyId> id = keyId(matcher.group(1));
-        Optional<KeySpec> spec = id.flatMap(snapshot::key);
-        byte[] declared =
-                spec.map(key -> HexFormat.of().parseHex(key.secretHash()))
-                        .orElseGet(() -> new byte[presented.length]);
-        if (!MessageDigest.isEqual(presented, declared) || spec.isEmpty()) {
+        KeyId id = presented.get().name();
+        KeySpec spec = snapshot.key(id).orElseThrow(KeyVerifier::unknown);
+        if (!presented.get().matches(spec)) {
             throw unknown();
         }
-        VerifiedKey key = new VerifiedKey(id.get(), spec.get().team(), spec.get().secretHash());
+        VerifiedKey key = new VerifiedKey(id, spec.team(), spec.secretHash());
         recheck(snapshot, key);
         return Optional.of(key);
     }
@@ -71,21 +63,17 @@
         }
     }
 
-    private static Optional<KeyId> keyId(String name) {
-        try {
-            return Optional.of(new KeyId(name));
-        } catch (QuetzalscaleException e) {
+    private static Optional<KeySecret> secret(String authorization) {
+        Matcher matcher = BEARER.matcher(authorization == null ? "" : authorization);
+        if (!matcher.matches()) {
             return Optional.empty();
         }
-    }
-
-    private static byte[] sha256(String secret) {
-        try {
-            return MessageDigest.getInstance("SHA-256")
-                    .digest(secret.getBytes(StandardCharsets.US_ASCII));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
+        Optional<KeySecret> secret = KeySecret.parse(matcher.group(1));
+        if (secret.isEmpty() && matcher.group(1).startsWith("qk_")) {
+            // Meant as a key, so an open queue must not take it as a request without one.
+            throw unknown();
         }
+        return secret;
     }
 
     private static QuetzalscaleException unknown() {
--- a/daemon/src/main/java/org/quetzalscale/daemon/platform/Platform.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/platform/Platform.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import org.quetzalscale.core.fleet.InMemoryTaskRunner;
 import org.quetzalscale.core.fleet.InstanceDirectory;
 import org.quetzalscale.core.fleet.Member;
@@ -41,10 +42,13 @@
      * The platform at an address. Nothing is sent before {@link #start} or a call to a port.
      *
      * @param group event loops, owned by the caller
-     * @param self this instance as it is to appear on the list
+     * @param name name of this instance
+     * @param self gives this instance as it is to appear on the list; called by {@link #start},
+     *     when the ports that it listens on are known
      */
-    public static Platform connect(InetSocketAddress address, EventLoopGroup group, Member self) {
-        PlatformClient client = new PlatformClient(address, group, self.name());
+    public static Platform connect(
+            InetSocketAddress address, EventLoopGroup group, String name, Supplier<Member> self) {
+        PlatformClient client = new PlatformClient(address, group, name);
         HttpDirectory directory = new HttpDirectory(client);
         return new Platform(
                 new HttpTable(client),
@@ -52,10 +56,17 @@
                 directory,
                 new HttpTaskRunner(client),
                 new Registration(
-                        group, () -> directory.register(self), () -> directory.leave(self)),
+                        group,
+                        () -> directory.register(self.get()),
+                        () -> directory.leave(self.get())),
                 client::stop);
     }
 
+    /** As the other method, for an instance whose ports are known. */
+    public static Platform connect(InetSocketAddress address, EventLoopGroup group, Member self) {
+        return connect(address, group, self.name(), () -> self);
+    }
+
     /**
      * A platform in the memory of this process, for a single instance. Its state ends with the
      * process, and its tasks are only simulated.
--- a/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerFixture.java
@@ -3,11 +3,8 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,9 +19,11 @@
 import org.quetzalscale.core.config.ConfigSnapshot;
 import org.quetzalscale.core.config.ConfigSource;
 import org.quetzalscale.core.config.Versioned;
+import org.quetzalscale.core.id.KeyId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.Revision;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.resource.KeySecret;
 import org.quetzalscale.core.resource.KeySpec;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.QueueSpec;
@@ -38,7 +37,10 @@
 
 /** A caller server with fakes behind it and scripted targets. */
 final class CallerFixture implements AutoCloseable {
-    static final String KEY = "Authorization: Bearer qk_lab_s3cret_x\r\n";
+    private static final KeySecret SECRET =
+            KeySecret.of(new KeyId("lab"), new byte[KeySecret.RANDOM_BYTES]);
+
+    static final String KEY = "Authorization: Bearer " + SECRET.reveal() + "\r\n";
     static final int QUEUE_TIMEOUT_MILLIS = 5_000;
     static final int BRIEF_TIMEOUT_MILLIS = 300;
 
@@ -162,14 +164,7 @@
         }
 
         private static KeySpec key(boolean withdrawn) {
-            try {
-                byte[] hash =
-                        MessageDigest.getInstance("SHA-256")
-                                .digest("s3cret_x".getBytes(StandardCharsets.US_ASCII));
-                return new KeySpec(new TeamId("agro"), HexFormat.of().formatHex(hash), withdrawn);
-            } catch (java.security.NoSuchAlgorithmException e) {
-                throw new IllegalStateException(e);
-            }
+            return new KeySpec(new TeamId("agro"), SECRET.hash(), withdrawn);
         }
 
         private static QueueSpec queue(boolean open, int timeoutMillis) {
