Count a request as running until the socket took its whole answer

Cause: the drain counted a request as ended when its answer was in the write buffer, so the stop that follows could cut the answer to a slow reader.

Change: the last write of each answer holds the count until it is done, and the count has no gap between the end of the work and that write.

Ruled out: waiting for all connections to close, which idle callers decide.

Conclusion: a stop after the drain cuts no answer that the drain waited for.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -111,20 +111,26 @@
 
     /** Sends the head of the answer. */
     void writeHead(HttpResponse head) {
+        beginAnswer(head);
+        writer.write(head);
+    }
+
+    private void beginAnswer(HttpResponse head) {
         answerBegun = true;
         closeAfterAnswer |= shared.draining().getAsBoolean() || (bodyExpected && !bodyEnded);
         if (closeAfterAnswer) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        writer.write(head);
     }
 
     /** Sends a part of the answer's body; takes the content over. The last part ends the answer. */
     void write(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        writer.write(content);
         if (last) {
+            writeLast(content);
             endAnswer();
+        } else {
+            writer.write(content);
         }
     }
 
@@ -158,7 +164,8 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, reply.contentType())
                 .set(EndToEndHeaders.REQUEST_ID, requestId);
         HttpUtil.setContentLength(response, reply.body().length);
-        writeHead(response);
+        beginAnswer(response);
+        writeLast(response);
         endAnswer();
     }
 
@@ -292,6 +299,12 @@
         task.start();
     }
 
+    /** Counts the request as running until the socket took its whole answer. */
+    private void writeLast(Object message) {
+        shared.running().incrementAndGet();
+        writer.write(message).addListener(written -> shared.running().decrementAndGet());
+    }
+
     private CallerTask taskOf(HttpRequest request, String requestId) {
         EventLoop loop = context.channel().eventLoop();
         if (shared.teamHandler() != null && request.uri().startsWith(TEAM_CALLS)) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -342,17 +342,18 @@
         finishAssignment(
                 status >= FIRST_FAILURE_STATUS ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED);
         end(Optional.empty(), false);
-        if (recorder != null) {
-            recorder.complete(this::leave);
-        } else {
-            leave();
-        }
         if (callerGone) {
             last.release();
         } else {
             // Without trailers, which a recorded outcome does not hold either.
             connection.write(new DefaultLastHttpContent(last.content()));
         }
+        // After the write, so that the request counts as running without a gap.
+        if (recorder != null) {
+            recorder.complete(this::leave);
+        } else {
+            leave();
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/TeamCall.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/TeamCall.java
@@ -99,6 +99,7 @@
     public void callerGone() {
         if (!ended) {
             end(Optional.empty(), 0);
+            leave();
         }
     }
 
@@ -139,6 +140,7 @@
         if (!ended) {
             end(Optional.empty(), reply.status());
             connection.answer(reply, requestId);
+            leave();
         }
     }
 
@@ -146,14 +148,18 @@
         if (!ended) {
             end(Optional.of(error.kind()), error.kind().httpStatus());
             connection.answerError(error, requestId);
+            leave();
         }
     }
 
+    private void leave() {
+        context.running().decrementAndGet();
+    }
+
     private void end(Optional<ErrorKind> error, int status) {
         ended = true;
         bodyTimer.cancel(false);
         kept.release();
-        context.running().decrementAndGet();
         long totalMillis = context.time().nowMillis() - arrivalMillis;
         context.observer()
                 .ended(
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/caller/CallerConnectionTest.java
@@ -0,0 +1,67 @@
+package org.quetzalscale.daemon.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.flow.FlowControlHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.time.TimeSource;
+import org.quetzalscale.net.http.HttpReply;
+
+class CallerConnectionTest {
+    /** Stands for a socket that takes nothing, because the caller does not read. */
+    private static final class FullSocket extends ChannelOutboundHandlerAdapter {
+        private final Deque<Runnable> held = new ArrayDeque<>();
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            held.add(() -> context.writeAndFlush(message, promise));
+        }
+    }
+
+    // A drain that ends before the socket took the answer would let the stop cut it.
+    @Test
+    void aRequestRunsUntilTheSocketTookItsWholeAnswer() {
+        AtomicInteger running = new AtomicInteger();
+        CallerContext context =
+                new CallerContext(
+                        new CallerFixture.FakeConfig(),
+                        new FakeAdmission(),
+                        new FakeIntentLog(),
+                        TimeSource.system(),
+                        null,
+                        CallerFixture.LIMITS,
+                        request -> {},
+                        (team, call) ->
+                                CompletableFuture.completedFuture(HttpReply.json(200, "done")),
+                        new BufferBudget(1 << 20),
+                        running,
+                        () -> false);
+        CallerRequestDecoder decoder = new CallerRequestDecoder(1024);
+        CallerResponseEncoder encoder = new CallerResponseEncoder();
+        FullSocket socket = new FullSocket();
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.config().setAutoRead(false);
+        channel.pipeline()
+                .addLast(socket, decoder, encoder, new FlowControlHandler())
+                .addLast(new CallerConnection(context, decoder, encoder, false));
+        channel.pipeline().fireChannelActive();
+        String request = CallerFixture.get("/v1/jobs/7");
+        channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
+        channel.runPendingTasks();
+        assertThat(running).hasValue(1);
+        assertThat(socket.held).isNotEmpty();
+        socket.held.forEach(Runnable::run);
+        assertThat(running).hasValue(0);
+        channel.finishAndReleaseAll();
+    }
+}
