Wire the intent log and target shutdowns; keep one JSON form of specs

Cause: requests with an idempotency key were refused, a target's announcement of its shutdown was ignored, and two classes converted specs to and from JSON, so a new field had to be added twice.

Change: Daemon uses TableIntentLog with its collector and passes Connection: close to WorkerChooser. The daemon's SpecJson is removed; net.json.SpecJson serves daemon and command-line tool.

Ruled out: keeping the daemon's form, because quetzalctl can't depend on the daemon.

Conclusion: one place defines fields, units and defaults.

--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -1,7 +1,9 @@
 package org.quetzalscale.daemon;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
@@ -10,16 +12,24 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.Collectors;
 import org.quetzalscale.core.fleet.Member;
 import org.quetzalscale.core.fleet.MemberRole;
 import org.quetzalscale.core.fleet.MemberState;
 import org.quetzalscale.core.id.TeamId;
+import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.limit.BlockHolder;
 import org.quetzalscale.core.limit.GoneHolders;
 import org.quetzalscale.core.limit.LimitRow;
 import org.quetzalscale.core.queue.FairAdmission;
+import org.quetzalscale.core.resource.Kind;
+import org.quetzalscale.core.resource.WorkerSpec;
+import org.quetzalscale.core.retry.IntentCollector;
+import org.quetzalscale.core.retry.IntentRow;
 import org.quetzalscale.core.retry.RetryBudget;
+import org.quetzalscale.core.retry.TableIntentLog;
 import org.quetzalscale.core.route.WorkerChooser;
+import org.quetzalscale.core.table.RowCodec;
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.caller.CallerLimits;
 import org.quetzalscale.daemon.caller.CallerServer;
@@ -43,6 +53,8 @@
 
 /** One entry instance: all services of the process, started and stopped in order. */
 public final class Daemon {
+    private static final RowCodec<IntentRow> INTENT_CODEC = Json.codec(IntentRow.class);
+    private static final long COLLECT_MILLIS = 60_000;
     private static final long PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long DRAIN_MARGIN_MILLIS = 5_000;
 
@@ -66,6 +78,8 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final JobService jobs;
+    private final TableIntentLog intents;
+    private final IntentCollector collector;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private volatile boolean ready;
 
@@ -96,7 +110,23 @@
         config.connect(siblings);
         metrics = metrics(workers);
         jobs = new JobService(platform.table(), platform.tasks(), config, settings.instanceId());
-        targets = new TargetClient(time, TargetLimits.defaults(), address -> {});
+        targets =
+                new TargetClient(
+                        time,
+                        TargetLimits.defaults(),
+                        address -> workerAt(address).ifPresent(workers::announceShutdown));
+        intents =
+                new TableIntentLog(
+                        settings.instanceId(),
+                        Long.toHexString(config.incarnation()),
+                        platform.table(),
+                        platform.objects(),
+                        INTENT_CODEC,
+                        time,
+                        System::currentTimeMillis,
+                        gone::isGone,
+                        this::after);
+        collector = new IntentCollector(platform.table(), INTENT_CODEC);
         callers = callers(time);
         operators = operators();
     }
@@ -109,6 +139,7 @@
         config.start();
         every(FairAdmission.TICK_MILLIS, admission::tick);
         every(BlockHolder.TICK_MILLIS, units::tick);
+        every(COLLECT_MILLIS, this::collectIntents);
         jobs.start();
         callers.start();
         operators.start();
@@ -202,7 +233,7 @@
                         () -> workers.inFlight().values().stream().mapToInt(n -> n).sum(),
                         () -> config.snapshot().revision().value(),
                         config::isValid,
-                        Map::of,
+                        this::unitsUsed,
                         Map::of));
     }
 
@@ -212,7 +243,7 @@
                 loops,
                 config,
                 admission,
-                new UnavailableIntentLog(),
+                intents,
                 time,
                 targets,
                 callerLimits(settings),
@@ -229,6 +260,29 @@
                 new OperatorHooks(() -> ready, metrics::text, Map::of, (kind, name) -> Map.of()));
     }
 
+    private Map<TeamId, Integer> unitsUsed() {
+        return teams().stream().collect(Collectors.toMap(team -> team, units::running));
+    }
+
+    private List<TeamId> teams() {
+        return config.snapshot().all(Kind.TEAMS).keySet().stream().map(TeamId::new).toList();
+    }
+
+    private Optional<WorkerId> workerAt(String address) {
+        return config.snapshot().all(Kind.WORKERS).entrySet().stream()
+                .filter(worker -> ((WorkerSpec) worker.getValue().spec()).address().equals(address))
+                .map(worker -> new WorkerId(worker.getKey()))
+                .findFirst();
+    }
+
+    private void collectIntents() {
+        collector.collectNext(teams(), System.currentTimeMillis());
+    }
+
+    private void after(long delayMillis, Runnable action) {
+        executor.schedule(() -> runGuarded(action), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void unitsArrived(TeamId team) {
         admission.unitsArrived(team);
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/config/ChangeJson.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/ChangeJson.java
@@ -15,6 +15,7 @@
 import org.quetzalscale.core.resource.Spec;
 import org.quetzalscale.core.table.RowCodec;
 import org.quetzalscale.net.json.Json;
+import org.quetzalscale.net.json.SpecJson;
 
 /** The JSON form of a change, as the table and the instances exchange it. */
 public final class ChangeJson implements RowCodec<ChangeRecord> {
@@ -47,7 +48,7 @@
                                         () -> FieldReader.invalid("revision", null, "required")));
         Optional<Spec> spec =
                 node.has("spec")
-                        ? Optional.of(SpecJson.read(kind, node.get("spec"), "spec"))
+                        ? Optional.of(SpecJson.read(kind, node.get("spec")))
                         : Optional.empty();
         return new ChangeRecord(new Change(revision, kind, name, spec), fields.text("writer"));
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/operator/ResourceDocument.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/operator/ResourceDocument.java
@@ -10,8 +10,8 @@
 import org.quetzalscale.core.id.Revision;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.daemon.config.FieldReader;
-import org.quetzalscale.daemon.config.SpecJson;
 import org.quetzalscale.net.json.Json;
+import org.quetzalscale.net.json.SpecJson;
 
 /**
  * A resource as an operator sends it; its spec is not read yet.
--- a/daemon/src/main/java/org/quetzalscale/daemon/operator/ResourceWriter.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/operator/ResourceWriter.java
@@ -19,9 +19,9 @@
 import org.quetzalscale.core.resource.Spec;
 import org.quetzalscale.daemon.config.ConfigService;
 import org.quetzalscale.daemon.config.FieldReader;
-import org.quetzalscale.daemon.config.SpecJson;
 import org.quetzalscale.daemon.config.WriteResult;
 import org.quetzalscale.net.http.HttpReply;
+import org.quetzalscale.net.json.SpecJson;
 
 /** Writes resources and answers when the writes are in force, or still pending after a while. */
 final class ResourceWriter {
@@ -43,7 +43,7 @@
         ResourceDocument document = ResourceDocument.read(kind, Optional.empty(), body);
         Optional<KeySecret> secret = makeSecret(document);
         secret.ifPresent(made -> ((ObjectNode) document.spec()).put("secretHash", made.hash()));
-        Spec spec = SpecJson.read(kind, document.spec(), "spec");
+        Spec spec = SpecJson.read(kind, document.spec());
         return config.write(ConfigWrite.of(ResourceEdit.create(document.name(), spec)))
                 .thenApply(result -> reply(result, STATUS_CREATED, secret));
     }
@@ -60,7 +60,7 @@
                                                 "resourceVersion",
                                                 document.version().orElse(null),
                                                 "expected the version that this write replaces"));
-        Spec spec = SpecJson.read(kind, document.spec(), "spec");
+        Spec spec = SpecJson.read(kind, document.spec());
         return config.write(ConfigWrite.of(ResourceEdit.replace(name, spec, Optional.of(version))))
                 .thenApply(result -> reply(result, STATUS_OK, Optional.empty()));
     }
