--- a/ctl/src/test/java/org/quetzalscale/ctl/command/CommandsTest.java
+++ b/ctl/src/test/java/org/quetzalscale/ctl/command/CommandsTest.java
@@ -89,6 +89,7 @@
             "wave abort v, waves/v, aborted, true"
         })
         void setsOneField(String line, String title, String field, boolean value) {
+            ctl.server().setField(title, field, !value);
             assertThat(ctl.run(line.split(" "))).isEqualTo(ExitCode.DONE);
             assertThat(ctl.server().spec(title).path(field).asBoolean()).isEqualTo(value);
             assertThat(ctl.run(line.split(" "))).isEqualTo(ExitCode.DONE);
--- a/ctl/src/test/java/org/quetzalscale/ctl/command/FakeOperator.java
+++ b/ctl/src/test/java/org/quetzalscale/ctl/command/FakeOperator.java
@@ -99,6 +99,10 @@
         store(kind, document);
     }
 
+    synchronized void setField(String title, String field, boolean value) {
+        ((ObjectNode) resources.get(title).path("spec")).put(field, value);
+    }
+
     private synchronized CompletionStage<HttpReply> handle(HttpCall call) {
         calls.add(call.method() + " " + call.path());
         if (!call.header("authorization").orElse("").equals(TOKEN)) {
