Take the values of log entries from tinylog's pattern writer

Cause: verify failed: the method that tells tinylog which values to collect has a get prefix, which Checkstyle forbids for methods of this project.

Change: StructuredWriter extends tinylog's base class, which has that method, and names the values by a pattern.

Ruled out: an exception in the Checkstyle rule.

Conclusion: the rule stays as strict as it was.

--- a/daemon/src/main/java/org/quetzalscale/daemon/logging/StructuredWriter.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/logging/StructuredWriter.java
@@ -3,22 +3,23 @@
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.util.Collection;
-import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.quetzalscale.net.json.Json;
 import org.tinylog.core.LogEntry;
-import org.tinylog.core.LogEntryValue;
-import org.tinylog.writers.Writer;
+import org.tinylog.writers.AbstractFormatPatternWriter;
 
 /**
  * Writes each log entry to the standard error stream as one line: a JSON object, or key=value pairs
  * with quoted values. tinylog creates it for {@code writer = structured}.
  */
-public final class StructuredWriter implements Writer {
+public final class StructuredWriter extends AbstractFormatPatternWriter {
     private static final String TEXT = "text";
 
+    /** Tells tinylog which values to collect for each entry; the line is not made from it. */
+    private static final Map<String, String> REQUIRED_VALUES =
+            Map.of("format", "{date}{level}{class}{thread}{message}");
+
     private final boolean text;
     private final PrintStream stream;
 
@@ -32,21 +33,11 @@
     }
 
     StructuredWriter(Map<String, String> properties, PrintStream stream) {
+        super(REQUIRED_VALUES);
         this.text = TEXT.equals(properties.get("layout"));
         this.stream = stream;
     }
 
-    @Override
-    public Collection<LogEntryValue> getRequiredLogEntryValues() {
-        return EnumSet.of(
-                LogEntryValue.DATE,
-                LogEntryValue.LEVEL,
-                LogEntryValue.CLASS,
-                LogEntryValue.THREAD,
-                LogEntryValue.MESSAGE,
-                LogEntryValue.EXCEPTION);
-    }
-
     @Override
     public void write(LogEntry entry) {
         Map<String, String> fields = new LinkedHashMap<>();
--- a/daemon/src/test/java/org/quetzalscale/daemon/logging/StructuredWriterTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/logging/StructuredWriterTest.java
@@ -13,6 +13,7 @@
 import org.tinylog.Level;
 import org.tinylog.configuration.ServiceLoader;
 import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
 import org.tinylog.runtime.RuntimeProvider;
 import org.tinylog.writers.Writer;
 
@@ -66,4 +67,17 @@
         Writer found = new ServiceLoader<>(Writer.class, Map.class).create("structured", Map.of());
         assertThat(found).isInstanceOf(StructuredWriter.class);
     }
+
+    /** Guards against fields that stay empty because tinylog was not asked for them. */
+    @Test
+    void asksForAllValuesThatItWrites() {
+        assertThat(new StructuredWriter(Map.of()).getRequiredLogEntryValues())
+                .contains(
+                        LogEntryValue.DATE,
+                        LogEntryValue.LEVEL,
+                        LogEntryValue.CLASS,
+                        LogEntryValue.THREAD,
+                        LogEntryValue.MESSAGE,
+                        LogEntryValue.EXCEPTION);
+    }
 }
