Let the operator server run without a token on loopback

Cause: the settings permit an empty operator token on a loopback address, but the server then expected the header "Bearer ", which no client sends.

Change: an empty token means that none is required, and the server refuses to be created so at another address.

Ruled out: requiring a token always; trials on one machine need none.

Conclusion: settings, server and quetzalctl agree about the empty token.

--- a/acceptance/src/test/java/org/quetzalscale/acceptance/ctl/OperatorCommandsTest.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/ctl/OperatorCommandsTest.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.acceptance.ctl;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -55,13 +56,7 @@
                     new InMemoryTable(),
                     new InMemoryObjectStore(),
                     TimeSource.system());
-    private final OperatorServer server =
-            new OperatorServer(
-                    new InetSocketAddress("127.0.0.1", 0),
-                    group,
-                    TOKEN,
-                    config,
-                    OperatorHooks.NONE);
+    private final OperatorServer server = server("127.0.0.1", TOKEN);
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
@@ -78,6 +73,11 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
+    private OperatorServer server(String address, String token) {
+        InetSocketAddress bound = new InetSocketAddress(address, 0);
+        return new OperatorServer(bound, group, token, config, OperatorHooks.NONE);
+    }
+
     private void run(String line) {
         assertThat(runFor(line.split(" "))).as(err()).isEqualTo(ExitCode.DONE);
     }
@@ -162,6 +162,19 @@
         assertThat(err()).contains("spec.team", "nobody");
     }
 
+    /** Guards against a trial without a token, as the settings permit, that no tool can use. */
+    @Test
+    void needsNoTokenWhereNoneIsSet() {
+        OperatorServer open = server("127.0.0.1", "");
+        open.start();
+        assertThat(runFor("get", "teams", "--server", "127.0.0.1:" + open.port(), "--token", ""))
+                .as(err())
+                .isEqualTo(ExitCode.DONE);
+        open.stop();
+        assertThat(runFor("get", "teams", "--token", "")).isEqualTo(ExitCode.REFUSED);
+        assertThatThrownBy(() -> server("0.0.0.0", "")).hasMessageContaining("operator token");
+    }
+
     private KeySpec key() {
         return (KeySpec) config.snapshot().find(Kind.KEYS, "portal").orElseThrow().spec();
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/operator/OperatorServer.java
@@ -32,6 +32,7 @@
     private static final String BEARER = "Bearer ";
 
     private final JsonHttpServer server;
+    private final boolean tokenRequired;
     private final byte[] token;
     private final ConfigService config;
     private final OperatorHooks hooks;
@@ -43,7 +44,8 @@
      * Creates a server that does not listen yet.
      *
      * @param group event loops, owned by the caller
-     * @param token the bearer token that operators present
+     * @param token the bearer token that operators present, or empty to require none; then the
+     *     address must be a loopback address
      */
     public OperatorServer(
             InetSocketAddress bindAddress,
@@ -51,7 +53,13 @@
             String token,
             ConfigService config,
             OperatorHooks hooks) {
+        if (token.isEmpty() && !bindAddress.getAddress().isLoopbackAddress()) {
+            throw new QuetzalscaleException(
+                    ErrorKind.INVALID_SETTING,
+                    "an operator port at " + bindAddress + " requires an operator token");
+        }
         this.server = new JsonHttpServer(bindAddress, group, MAX_BODY_BYTES, this::handle);
+        this.tokenRequired = !token.isEmpty();
         this.token = (BEARER + token).getBytes(StandardCharsets.UTF_8);
         this.config = config;
         this.hooks = hooks;
@@ -106,6 +114,9 @@
     }
 
     private void authorize(HttpCall call) {
+        if (!tokenRequired) {
+            return;
+        }
         byte[] presented = call.header(AUTHORIZATION).orElse("").getBytes(StandardCharsets.UTF_8);
         if (!MessageDigest.isEqual(presented, token)) {
             throw new QuetzalscaleException(
