--- a/daemon/src/test/java/org/quetzalscale/daemon/operator/OperatorServerTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/operator/OperatorServerTest.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon.operator;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
@@ -21,12 +22,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalscale.core.config.ConfigSnapshot;
+import org.quetzalscale.core.fleet.Member;
+import org.quetzalscale.core.fleet.MemberRole;
+import org.quetzalscale.core.fleet.MemberState;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.object.InMemoryObjectStore;
 import org.quetzalscale.core.resource.KeySecret;
 import org.quetzalscale.core.table.InMemoryTable;
+import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.config.ConfigService;
 import org.quetzalscale.net.EventLoops;
@@ -193,6 +201,39 @@
         }
     }
 
+    @Nested
+    class Revisions {
+        @Test
+        void tellWhichInstancesArePending() {
+            expect(201, HttpMethod.POST, "/v1/teams", TEAM);
+            assertThat(
+                            expect(200, HttpMethod.GET, "/v1/revisions/1", "")
+                                    .path("inForce")
+                                    .booleanValue())
+                    .isTrue();
+            expect(404, HttpMethod.GET, "/v1/revisions/2", "");
+            config.list(List.of(silentInstance()));
+            JsonNode revision = expect(200, HttpMethod.GET, "/v1/revisions/1", "");
+            assertThat(revision.path("inForce").booleanValue()).isFalse();
+            assertThat(revision.path("pending").get(0).textValue()).isEqualTo("e9");
+        }
+
+        // The answer comes after 10 s even if an instance stays silent.
+        @Test
+        void areAnsweredAsAcceptedWhilePending() {
+            config.list(List.of(silentInstance()));
+            JsonNode accepted = expect(202, HttpMethod.POST, "/v1/teams", TEAM);
+            assertThat(accepted.path("inForce").booleanValue()).isFalse();
+            assertThat(accepted.path("pending").get(0).textValue()).isEqualTo("e9");
+            expect(200, HttpMethod.GET, "/v1/teams/team-a", "");
+        }
+
+        private Member silentInstance() {
+            return new Member(
+                    "e9", MemberRole.ENTRY, new ZoneId("z1"), "127.0.0.1:1", MemberState.LIVE);
+        }
+    }
+
     @Nested
     class Access {
         @Test
@@ -245,5 +286,43 @@
             assertThat(next("bookmark").path("revision").longValue()).isEqualTo(2);
             stream.close();
         }
+
+        @Test
+        void refusesARevisionWhoseChangesAreGone() {
+            expect(201, HttpMethod.POST, "/v1/teams", TEAM);
+            table.commit(
+                            new Transaction(
+                                    List.of(), List.of(Mutation.delete(new RowKey("change/1")))))
+                    .toCompletableFuture()
+                    .join();
+            ConfigService later =
+                    new ConfigService(
+                            new InstanceId("e2"),
+                            table,
+                            new InMemoryObjectStore(),
+                            TimeSource.system());
+            OperatorServer second =
+                    new OperatorServer(
+                            new InetSocketAddress("127.0.0.1", 0),
+                            group,
+                            "secret-token",
+                            later,
+                            OperatorHooks.NONE);
+            CompletableFuture<ConfigSnapshot> loaded = new CompletableFuture<>();
+            later.addListener(loaded::complete);
+            later.start();
+            second.start();
+            loaded.orTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
+            client.stop();
+            client =
+                    new JsonHttpClient(
+                            new InetSocketAddress("127.0.0.1", second.port()),
+                            group,
+                            TIMEOUT_MILLIS);
+            assertThatThrownBy(() -> watch(0).ended().toCompletableFuture().join())
+                    .hasMessageContaining("revision_too_old");
+            second.stop();
+            later.stop();
+        }
     }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -38,6 +39,7 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.object.InMemoryObjectStore;
+import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.TeamSpec;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.InMemoryTable;
@@ -124,10 +126,12 @@
             instances.add(this);
         }
 
-        private WriteResult write(int limit) throws Exception {
-            return config.write(
-                            ConfigWrite.of(
-                                    ResourceEdit.create("t" + limit, new TeamSpec(1, limit))))
+        private WriteResult write(int teams) throws Exception {
+            List<ResourceEdit> edits =
+                    IntStream.range(0, teams)
+                            .mapToObj(i -> ResourceEdit.create("t" + i, new TeamSpec(1, i)))
+                            .toList();
+            return config.write(new ConfigWrite(edits, Transaction.builder().build()))
                     .toCompletableFuture()
                     .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -168,7 +172,7 @@
     class Changes {
         @Test
         void areInForceWhenAllConfirmed() throws Exception {
-            WriteResult result = instances.get(0).write(3);
+            WriteResult result = instances.get(0).write(1);
             assertThat(result.inForce()).isTrue();
             assertThat(instances.get(1).revision()).isEqualTo(1);
         }
@@ -186,7 +190,7 @@
                                 "127.0.0.1:" + silent.getLocalPort(),
                                 MemberState.LIVE));
                 await(() -> instances.get(0).config.known().size() == 2);
-                WriteResult result = instances.get(0).write(3);
+                WriteResult result = instances.get(0).write(1);
                 assertThat(result.pending()).containsExactly(new InstanceId("e9"));
             }
         }
@@ -194,17 +198,27 @@
         @Test
         void doNotWaitForAnInstanceWhoseProcessEnded() throws Exception {
             instances.get(1).stop();
-            assertThat(instances.get(0).write(3).inForce()).isTrue();
+            assertThat(instances.get(0).write(1).inForce()).isTrue();
         }
 
         @Test
         void reachANewInstanceWhileTheTableIsDown() throws Exception {
-            instances.get(0).write(3);
+            instances.get(0).write(1);
             table.down = true;
             Instance third = new Instance("e3");
             await(third.config::isValid);
             assertThat(third.revision()).isEqualTo(1);
         }
+
+        // So many resources that their snapshot takes more than one frame.
+        @Test
+        void reachANewInstanceAsASnapshotIfThereAreMany() throws Exception {
+            instances.get(0).write(5_000);
+            table.down = true;
+            Instance third = new Instance("e3");
+            await(third.config::isValid);
+            assertThat(third.config.snapshot().all(Kind.TEAMS)).hasSize(5_000);
+        }
     }
 
     @Nested
