Prefer the address that an instance states over the list's

Cause: an instance that restarted at another address was still called at the address of the lagging list. A refusal there counted as the end of its process although the new one was running.

Change: what an instance says of itself precedes the platform's list until that address refuses; a malformed address on the list is skipped with a warning.

Ruled out: trusting the list only; it lags by seconds, and a change could be called in force without the moved instance.

Conclusion: test reachAnInstanceThatRestartedAtAnotherAddress covers it.

--- a/core/src/test/java/org/quetzalscale/core/config/ConfigStoreTest.java
+++ b/core/src/test/java/org/quetzalscale/core/config/ConfigStoreTest.java
@@ -36,7 +36,7 @@
 import org.quetzalscale.core.table.Transaction;
 
 class ConfigStoreTest {
-    private final FaultyTable table = new FaultyTable();
+    private final ScriptedTable table = new ScriptedTable();
     private final ConfigCodecs codecs = new ConfigCodecs(new MemoryCodec<>(), new MemoryCodec<>());
     private final ConfigStore store = store("first");
     private final ConfigStore other = store("second");
@@ -111,14 +111,14 @@
     class LostAnswers {
         @Test
         void areReadBack() {
-            table.outcomes.add(FaultyTable.Outcome.ANSWER_LOST);
+            table.outcomes.add(ScriptedTable.Outcome.ANSWER_LOST);
             assertThat(write(team("a", 5)).get(0).revision()).isEqualTo(new Revision(1));
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
 
         @Test
         void ofWritesThatNeverArrivedLeadToASecondSending() {
-            table.outcomes.add(FaultyTable.Outcome.REQUEST_LOST);
+            table.outcomes.add(ScriptedTable.Outcome.REQUEST_LOST);
             write(team("a", 5));
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
@@ -126,14 +126,14 @@
         // The first sending arrives late, so the second one conflicts with it.
         @Test
         void ofWritesThatArriveLateAreNotAcceptedTwice() {
-            table.outcomes.add(FaultyTable.Outcome.DELAYED);
+            table.outcomes.add(ScriptedTable.Outcome.DELAYED);
             assertThat(write(team("a", 5))).hasSize(1);
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
 
         @Test
         void areNotTakenForAnotherWritersChange() {
-            table.outcomes.add(FaultyTable.Outcome.REQUEST_LOST);
+            table.outcomes.add(ScriptedTable.Outcome.REQUEST_LOST);
             table.beforeCommit =
                     () -> join(other.write(ConfigSnapshot.EMPTY, ConfigWrite.of(team("b", 1))));
             write(team("a", 5));
@@ -143,7 +143,7 @@
 
         @Test
         void areReportedIfTheTableCanNotBeRead() {
-            table.outcomes.add(FaultyTable.Outcome.ANSWER_LOST);
+            table.outcomes.add(ScriptedTable.Outcome.ANSWER_LOST);
             table.beforeCommit = () -> table.readsFail = true;
             expect(ErrorKind.STORE_OUTCOME_UNKNOWN, team("a", 5));
         }
@@ -152,7 +152,7 @@
     // Whatever happens to commits, a write that returned is applied once, in its order.
     @Property(tries = 300, seed = "12")
     void neverLoseOrRepeatAnAcceptedWrite(
-            @ForAll @Size(max = 30) List<FaultyTable.Outcome> outcomes) {
+            @ForAll @Size(max = 30) List<ScriptedTable.Outcome> outcomes) {
         ConfigStoreTest fresh = new ConfigStoreTest();
         fresh.table.outcomes.addAll(outcomes);
         long highest = 0;
--- a/core/src/test/java/org/quetzalscale/core/config/FaultyTable.java
+++ b/core/src/test/java/org/quetzalscale/core/config/ScriptedTable.java
@@ -16,7 +16,7 @@
 import org.quetzalscale.core.table.TransactionalTable;
 
 /** A table whose next commits go wrong as told. */
-final class FaultyTable implements TransactionalTable {
+final class ScriptedTable implements TransactionalTable {
     enum Outcome {
         /** Takes effect and is answered. */
         WORKS,
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -42,8 +43,8 @@
  * The connections between this instance and all other entry instances. Each instance opens one to
  * each other; on it, the one that opened it asks and distributes, and the other answers.
  *
- * <p>It has to listen for as long as the instance accepts writes: a refused connection tells the
- * others that the process has ended.
+ * <p>It has to listen for as long as the instance accepts writes or work: a refused connection
+ * tells the others that the process has ended.
  */
 public final class SiblingMesh implements SiblingLinks {
     private static final long PING_MILLIS = 500;
@@ -51,7 +52,6 @@
     private static final long LOAD_MILLIS = 100;
     private static final long MAX_LOAD_AGE_MILLIS = 1_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final int MAX_ADDRESSES = 1_000;
 
     private final InetSocketAddress bindAddress;
     private final String ownAddress;
@@ -61,7 +61,7 @@
     private final SiblingHooks hooks;
     private final TimeSource time;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final Map<InstanceId, String> addresses = new ConcurrentHashMap<>();
+    private final SiblingAddresses addresses = new SiblingAddresses();
     private final Map<InstanceId, OutgoingLink> links = new ConcurrentHashMap<>();
     private final Set<InstanceId> connecting = ConcurrentHashMap.newKeySet();
     private volatile Set<InstanceId> listed = Set.of();
@@ -188,7 +188,7 @@
                 }
             } else if (!id.equals(config.self())) {
                 present.add(id);
-                addresses.put(id, member.address());
+                addresses.list(id, member.address());
             }
         }
         listed = present;
@@ -220,13 +220,11 @@
     }
 
     private void dial(InstanceId id) {
-        String address = addresses.get(id);
-        if (address == null || !connecting.add(id)) {
+        Optional<String> address = addresses.find(id);
+        Optional<InetSocketAddress> target = address.flatMap(SiblingAddresses::parse);
+        if (target.isEmpty() || !connecting.add(id)) {
             return;
         }
-        int colon = address.lastIndexOf(':');
-        String host = address.substring(0, colon).replaceAll("[\\[\\]]", "");
-        int port = Integer.parseInt(address.substring(colon + 1));
         long calledMillis = time.nowMillis();
         new Bootstrap()
                 .group(group)
@@ -234,13 +232,14 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(initializer(channel -> outgoing(channel, id)))
-                .connect(new InetSocketAddress(host, port))
+                .connect(target.get())
                 .addListener(
                         connected -> {
                             connecting.remove(id);
                             if (connected.isSuccess()) {
                                 greet(((ChannelFuture) connected).channel(), id);
                             } else if (isRefusal(connected.cause())) {
+                                addresses.refused(id, address.get());
                                 config.refused(id, calledMillis);
                             }
                         });
@@ -265,10 +264,7 @@
     private SiblingFrame.Introduction introduction() {
         Map<InstanceId, String> known = new HashMap<>();
         for (InstanceId id : config.known()) {
-            String address = addresses.get(id);
-            if (address != null) {
-                known.put(id, address);
-            }
+            addresses.find(id).ifPresent(address -> known.put(id, address));
         }
         String address =
                 ownAddress.isEmpty() ? bindAddress.getHostString() + ":" + port() : ownAddress;
@@ -276,10 +272,8 @@
     }
 
     private void introduced(SiblingFrame.Introduction introduction) {
-        if (addresses.size() < MAX_ADDRESSES) {
-            introduction.known().forEach(addresses::putIfAbsent);
-            addresses.put(introduction.id(), introduction.address());
-        }
+        introduction.known().forEach(addresses::mention);
+        addresses.introduce(introduction.id(), introduction.address());
     }
 
     private void incoming(SocketChannel channel) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
@@ -92,9 +92,14 @@
         private final BlockingQueue<Map<WorkerId, Integer>> loads = new LinkedBlockingQueue<>();
         private final ConfigService config;
         private final SiblingMesh mesh;
+        private boolean running = true;
         private volatile Map<WorkerId, Integer> load = Map.of();
 
         private Instance(String name) {
+            this(name, true);
+        }
+
+        private Instance(String name, boolean listed) {
             config =
                     new ConfigService(
                             new InstanceId(name),
@@ -115,13 +120,15 @@
                             TimeSource.system());
             config.connect(mesh);
             mesh.start();
-            members.add(
-                    new Member(
-                            name,
-                            MemberRole.ENTRY,
-                            new ZoneId("z1"),
-                            "127.0.0.1:" + mesh.port(),
-                            MemberState.LIVE));
+            if (listed) {
+                members.add(
+                        new Member(
+                                name,
+                                MemberRole.ENTRY,
+                                new ZoneId("z1"),
+                                "127.0.0.1:" + mesh.port(),
+                                MemberState.LIVE));
+            }
             config.start();
             instances.add(this);
         }
@@ -141,8 +148,11 @@
         }
 
         private void stop() {
-            mesh.stop();
-            config.stop();
+            if (running) {
+                running = false;
+                mesh.stop();
+                config.stop();
+            }
         }
     }
 
@@ -201,6 +211,16 @@
             assertThat(instances.get(0).write(1).inForce()).isTrue();
         }
 
+        // The list still has the address of the former process, which refuses connections.
+        @Test
+        void reachAnInstanceThatRestartedAtAnotherAddress() throws Exception {
+            instances.get(1).stop();
+            Instance moved = new Instance("e2", false);
+            await(() -> instances.get(0).config.known().size() == 1);
+            assertThat(instances.get(0).write(1).inForce()).isTrue();
+            assertThat(moved.revision()).isEqualTo(1);
+        }
+
         @Test
         void reachANewInstanceWhileTheTableIsDown() throws Exception {
             instances.get(0).write(1);
