--- a/acceptance/src/test/java/org/quetzalscale/acceptance/platform/PlatformContractTest.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/platform/PlatformContractTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.catchThrowable;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -28,12 +29,18 @@
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.platform.Platform;
 import org.quetzalscale.net.EventLoops;
+import org.quetzalscale.net.http.HttpCall;
+import org.quetzalscale.net.http.HttpReply;
+import org.quetzalscale.net.http.JsonHttpClient;
 import org.quetzalscale.standin.platform.FaultMode;
 import org.quetzalscale.standin.platform.FaultRule;
+import org.quetzalscale.standin.platform.MachineRegistry;
 import org.quetzalscale.standin.platform.PlatformOptions;
 import org.quetzalscale.standin.platform.PlatformServer;
+import org.quetzalscale.standin.platform.ProcessProbe;
 
 /** The adapter of the daemon against the stand-in: what each port promises, also under faults. */
 class PlatformContractTest {
@@ -218,4 +225,75 @@
                     .isEqualTo(ErrorKind.RESOURCE_UNKNOWN);
         }
     }
+
+    @Nested
+    class Faults {
+        private void put(String path, String body) {
+            JsonHttpClient operator =
+                    new JsonHttpClient(
+                            new InetSocketAddress("127.0.0.1", server.port()), group, 10_000);
+            HttpReply reply =
+                    await(operator.send(HttpCall.of(HttpMethod.PUT, path, body.getBytes())));
+            assertThat(reply.status()).isEqualTo(204);
+        }
+
+        @Test
+        void hitOnlyTheCallsThatTheRuleNames() {
+            put(
+                    "/v1/faults/table",
+                    """
+                    {"rules":[{"mode":"DOWN","calls":1,"match":"limit"},
+                              {"mode":"DOWN","caller":"entry-2"}]}""");
+            assertThat(await(platform.table().read(RowKey.of("other")))).isEmpty();
+            assertThat(kindOf(platform.table().read(KEY))).isEqualTo(ErrorKind.STORE_UNAVAILABLE);
+            assertThat(await(platform.table().read(KEY))).isEmpty();
+        }
+
+        @Test
+        void delayTheAnswerOfASlowCommitBeyondItsTimeLimitButNotItsEffect() {
+            put(
+                    "/v1/faults/table",
+                    "{\"rules\":[{\"mode\":\"SLOW\",\"delayMillis\":1500,\"calls\":1}]}");
+            assertThat(kindOf(platform.table().commit(INSERT)))
+                    .isEqualTo(ErrorKind.STORE_OUTCOME_UNKNOWN);
+            assertThat(await(platform.table().read(KEY))).isPresent();
+        }
+
+        @Test
+        void failEveryTaskOfOneWorker() {
+            put(
+                    "/v1/machines/worker/w1",
+                    "{\"zone\":\"z\",\"address\":\"127.0.0.1:1\",\"processId\":0}");
+            put("/v1/faults/workers/w1", "");
+            TaskId task = new TaskId("job-1");
+            await(platform.tasks().start(task, new WorkerId("w1"), HANG, LEASE_MILLIS));
+            assertThat(await(platform.tasks().report(task)).orElseThrow().state())
+                    .isEqualTo(TaskState.FAILED);
+        }
+    }
+
+    @Nested
+    class Processes {
+        private static final int CHILD_SECONDS = 60;
+
+        private void signal(String name, Process process) throws Exception {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        }
+
+        /** Guards against freeing what a paused process still holds. */
+        @Test
+        void arePausedWithoutBeingGoneAndGoneWhenKilled() throws Exception {
+            Process child = new ProcessBuilder("sleep", String.valueOf(CHILD_SECONDS)).start();
+            MachineRegistry registry =
+                    new MachineRegistry(TimeSource.system(), ProcessProbe.system(), 0, 0);
+            try {
+                registry.register(SELF, child.pid());
+                signal("STOP", child);
+                assertThat(registry.detectGone()).isEmpty();
+            } finally {
+                child.destroyForcibly().waitFor();
+            }
+            assertThat(registry.detectGone()).hasSize(1);
+        }
+    }
 }
--- a/standin/src/main/java/org/quetzalscale/standin/target/TargetConnection.java
+++ b/standin/src/main/java/org/quetzalscale/standin/target/TargetConnection.java
@@ -25,7 +25,7 @@
 /** Serves the requests of one connection one after the other, with streamed bodies. */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     static final String REQUEST_ID_HEADER = "X-Request-Id";
-    static final String TEAM_HEADER = "Quetzalscale-Team";
+    static final String TEAM_HEADER = "X-Team";
     static final String TARGET_HEADER = "X-Target";
 
     private static final int CHUNK_BYTES = 16 * 1024;
