Bound the platform calls in flight

Cause: the adapter opened a connection for every call that found none idle.

Change: CallQueue keeps 64 calls in flight. JsonHttpClient takes a limit a call.

--- a/daemon/src/main/java/org/quetzalscale/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/platform/PlatformClient.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.net.http.HttpCall;
 import org.quetzalscale.net.http.HttpCallException;
 import org.quetzalscale.net.http.HttpReply;
@@ -25,15 +26,22 @@
     /** Time limit of a call, in ms; its connection is dropped when it passes. */
     static final int CALL_LIMIT_MILLIS = 1000;
 
+    /** Calls in flight above which calls wait. */
+    private static final int MAX_CALLS_IN_FLIGHT = 64;
+
     private static final String CALLER_HEADER = "Quetzalscale-Instance";
     private static final byte[] NO_BODY = {};
     private static final int NOT_FOUND = 404;
 
     private final JsonHttpClient client;
+    private final CallQueue queue;
     private final Map<String, String> headers;
 
     PlatformClient(InetSocketAddress address, EventLoopGroup group, String caller) {
         this.client = new JsonHttpClient(address, group, CALL_LIMIT_MILLIS);
+        this.queue =
+                new CallQueue(
+                        client::send, TimeSource.system(), MAX_CALLS_IN_FLIGHT, CALL_LIMIT_MILLIS);
         this.headers = Map.of(CALLER_HEADER, caller);
     }
 
@@ -91,7 +99,7 @@
         Map<String, List<String>> parameters =
                 query.entrySet().stream()
                         .collect(Collectors.toMap(Map.Entry::getKey, e -> List.of(e.getValue())));
-        return client.send(new HttpCall(method, path, parameters, headers, body))
+        return queue.send(new HttpCall(method, path, parameters, headers, body))
                 .handle(
                         (reply, failure) -> {
                             if (failure != null) {
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
@@ -55,10 +55,19 @@
      * together.
      */
     public CompletionStage<HttpReply> send(HttpCall call) {
+        return send(call, timeoutMillis);
+    }
+
+    /**
+     * As {@link #send(HttpCall)}, with a time limit of its own.
+     *
+     * @param limitMillis time limit for connecting and the answer; at most the client's own limit
+     */
+    public CompletionStage<HttpReply> send(HttpCall call, int limitMillis) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         Channel reused = pollIdle();
         if (reused != null) {
-            transmit(reused, call, reply, timeoutMillis);
+            transmit(reused, call, reply, limitMillis);
             return reply;
         }
         long startNanos = System.nanoTime();
@@ -74,7 +83,7 @@
                                     ((io.netty.channel.ChannelFuture) connected).channel(),
                                     call,
                                     reply,
-                                    remainingMillis(startNanos));
+                                    remainingMillis(startNanos, limitMillis));
                         });
         return reply;
     }
@@ -144,9 +153,9 @@
                 .connect(address);
     }
 
-    private int remainingMillis(long startNanos) {
+    private static int remainingMillis(long startNanos, int limitMillis) {
         long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000L;
-        return (int) Math.max(1, timeoutMillis - elapsedMillis);
+        return (int) Math.max(1, limitMillis - elapsedMillis);
     }
 
     private void transmit(
