--- a/core/src/main/java/org/quetzalscale/core/job/Estimator.java
+++ b/core/src/main/java/org/quetzalscale/core/job/Estimator.java
@@ -29,7 +29,7 @@
     private static final long MIN_RUN_MILLIS = 1_000;
 
     /** Too little memory ends the job, too few cores only slow it. */
-    private static final double MEMORY_QUANTILE = 0.9;
+    private static final double MEMORY_QUANTILE = 0.75;
 
     private static final double MEDIAN = 0.5;
 
@@ -73,19 +73,19 @@
     }
 
     /**
-     * What a running job uses: as reported once the report says something, and for memory at least
-     * what was observed.
+     * What a running job uses: as reported, once the report says something.
+     *
+     * @param expected what it was expected to use
      */
-    public Resources use(JobSpec spec, TaskReport report) {
-        Resources need = need(spec);
-        double cores =
-                report.runMillis() < MIN_RUN_MILLIS
-                        ? need.cores()
-                        : Math.min(cores(report), Math.max(1, spec.cores()) * MAX_FACTOR);
-        double memory =
-                Math.min(report.peakMemoryMib(), Math.max(1, spec.memoryMib()) * MAX_FACTOR);
+    public Resources use(JobSpec spec, TaskReport report, Resources expected) {
+        if (report.runMillis() < MIN_RUN_MILLIS) {
+            return expected;
+        }
         return new Resources(
-                cores, Math.max(need.memoryMib(), memory), need.accelerators(), need.slots());
+                Math.min(cores(report), Math.max(1, spec.cores()) * MAX_FACTOR),
+                Math.min(report.peakMemoryMib(), Math.max(1, spec.memoryMib()) * MAX_FACTOR),
+                spec.accelerators(),
+                spec.slots());
     }
 
     /** Run time that a job is expected to need in total, in milliseconds. */
--- a/core/src/main/java/org/quetzalscale/core/job/FleetObserver.java
+++ b/core/src/main/java/org/quetzalscale/core/job/FleetObserver.java
@@ -32,12 +32,17 @@
 public final class FleetObserver {
     private static final long FIRST_RETRY_MILLIS = 1_000;
     private static final int MAX_RETRY_DOUBLINGS = 5;
+
+    /** A corrected size is at most the part of a worker that belongs to so many times its slots. */
+    private static final double MAX_CORRECTED_SLOTS = 2;
+
     private static final long REFUSED_MILLIS = 10_000;
 
     private final Estimator estimator = new Estimator();
     private final FaultAttribution attribution = new FaultAttribution();
     private final Map<JobId, Integer> recorded = new HashMap<>();
     private final Map<WorkerId, Long> refusedUntilMillis = new HashMap<>();
+    private final Map<JobId, Resources> observedUse = new HashMap<>();
     private final Map<JobId, Long> retryAtMillis = new HashMap<>();
 
     /** The record of ended attempts. */
@@ -82,6 +87,7 @@
     public void retain(Set<JobId> open) {
         retryAtMillis.keySet().retainAll(open);
         recorded.keySet().retainAll(open);
+        observedUse.keySet().retainAll(open);
     }
 
     /** Why a job can never run on the declared workers, or empty if it can or none is declared. */
@@ -144,15 +150,12 @@
         for (StoredJob stored : jobs) {
             JobRow job = stored.job();
             if (job.state().holdsUnits()) {
-                RunningJob held = running(stored, tracker);
+                RunningJob held = running(stored, tracker, largest);
                 running.add(held);
                 occupied.add(held.worker());
             } else if (retryAtMillis.getOrDefault(job.id(), nowMillis) <= nowMillis) {
                 waiting.add(
-                        new WaitingJob(
-                                stored,
-                                estimator.need(job.spec()).min(largest),
-                                attribution.failedOn(job.id())));
+                        new WaitingJob(stored, need(job, largest), attribution.failedOn(job.id())));
             }
         }
         Function<WorkerId, Boolean> blocked =
@@ -164,14 +167,37 @@
                 wallMillis, workers(config, blocked), teams(config, limits), waiting, running);
     }
 
-    private RunningJob running(StoredJob stored, TaskTracker tracker) {
+    /**
+     * What a job is expected to use; what it used before says more than its class. An estimate far
+     * above its slots' part of a worker would keep it waiting for an empty one, which costs more
+     * than stopping it should the estimate prove right.
+     */
+    private Resources need(JobRow job, Resources largest) {
+        Resources observed = observedUse.get(job.id());
+        if (observed != null) {
+            return observed.min(largest);
+        }
+        JobSpec spec = job.spec();
+        double part = MAX_CORRECTED_SLOTS * spec.slots() / Math.max(1, largest.slots());
+        Resources most =
+                new Resources(spec.cores(), spec.memoryMib(), spec.accelerators(), spec.slots())
+                        .max(largest.times(Math.min(1, part)));
+        return estimator.need(spec).min(most).min(largest);
+    }
+
+    private RunningJob running(StoredJob stored, TaskTracker tracker, Resources largest) {
         JobSpec spec = stored.job().spec();
         TaskId task = stored.job().task();
         Optional<TaskReport> report = tracker.report(task);
         int percent = tracker.throttlePercent(task);
-        Resources use =
-                report.map(present -> estimator.use(spec, present))
-                        .orElseGet(() -> estimator.need(spec));
+        long ranMillis = report.map(TaskReport::runMillis).orElse(0L);
+        // Kept as it was at the start, so that a moving estimate does not overfill the worker.
+        Resources use = need(stored.job(), largest);
+        observedUse.put(stored.job().id(), use);
+        if (report.isPresent() && percent == 100) {
+            use = estimator.use(spec, report.get(), use);
+            observedUse.put(stored.job().id(), use);
+        }
         if (percent < 100) {
             double allowed = spec.cores() * percent / 100.0;
             use =
@@ -181,10 +207,10 @@
                             use.accelerators(),
                             use.slots());
         }
-        long ranMillis = report.map(TaskReport::runMillis).orElse(0L);
         return new RunningJob(
                 stored,
                 use,
+                ranMillis,
                 tracker.unsavedMillis(task),
                 Math.max(0, estimator.runMillis(spec) - ranMillis),
                 percent);
--- a/core/src/main/java/org/quetzalscale/core/job/JobScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobScheduler.java
@@ -39,7 +39,7 @@
         Map<TeamId, Deque<WaitingJob>> queues = queues(state);
         List<WaitingJob> unplaced = new ArrayList<>();
         Set<WorkerId> kept = reserve(state, queues);
-        startUrgent(state, queues, kept);
+        startUrgent(state, queues);
         startByShare(state, queues, kept, unplaced);
         Reclaim.apply(state, unplaced);
         return state.plan();
@@ -93,14 +93,17 @@
         return queues.keySet().stream().sorted(Comparator.comparingDouble(state::ratio)).toList();
     }
 
-    /** Urgent work within its team's entitlement goes ahead of all other work. */
-    private static void startUrgent(
-            PlanState state, Map<TeamId, Deque<WaitingJob>> queues, Set<WorkerId> kept) {
+    /**
+     * Urgent work goes ahead of all other work as long as a team's urgent work alone is within its
+     * entitlement; what else the team has beyond it is reclaimed afterwards.
+     */
+    private static void startUrgent(PlanState state, Map<TeamId, Deque<WaitingJob>> queues) {
         for (TeamId team : byRatio(state, queues)) {
             Deque<WaitingJob> queue = queues.get(team);
             while (!queue.isEmpty() && queue.peek().spec().urgent()) {
                 WaitingJob job = queue.peek();
-                if (!state.isEntitled(team, job.need()) || !tryStart(state, job, kept)) {
+                if (!state.isEntitledToUrgent(team, job.need())
+                        || !tryStart(state, job, Set.of())) {
                     break;
                 }
                 queue.poll();
--- a/core/src/main/java/org/quetzalscale/core/job/PlanState.java
+++ b/core/src/main/java/org/quetzalscale/core/job/PlanState.java
@@ -22,6 +22,7 @@
     private final Map<WorkerId, Resources> coming = new HashMap<>();
     private final Map<WorkerId, List<RunningJob>> running = new HashMap<>();
     private final Map<TeamId, Resources> used = new TreeMap<>();
+    private final Map<TeamId, Resources> urgentUsed = new TreeMap<>();
     private final Map<TeamId, Integer> freeUnits = new HashMap<>();
     private final Map<TeamId, Integer> comingUnits = new HashMap<>();
     private final Map<TeamId, Resources> entitled;
@@ -49,6 +50,9 @@
         for (RunningJob job : view.running()) {
             occupy(job.worker(), job.team(), job.use());
             running.computeIfAbsent(job.worker(), key -> new ArrayList<>()).add(job);
+            if (job.spec().urgent()) {
+                urgentUsed.merge(job.team(), job.use(), Resources::plus);
+            }
             if (job.stopping()) {
                 expect(job);
             }
@@ -96,6 +100,11 @@
         return within(used.getOrDefault(team, Resources.NONE).plus(more), team);
     }
 
+    /** Whether a team's urgent work alone stays within its entitlement with so much more. */
+    boolean isEntitledToUrgent(TeamId team, Resources more) {
+        return within(urgentUsed.getOrDefault(team, Resources.NONE).plus(more), team);
+    }
+
     /** Whether a team has at least its entitlement without so much. */
     boolean isBorrowed(TeamId team, Resources use) {
         Resources rest = used.getOrDefault(team, Resources.NONE).minus(use);
@@ -107,8 +116,10 @@
     }
 
     void start(WaitingJob job, WorkerId worker) {
-        occupy(worker, job.team(), job.need());
-        freeUnits.merge(job.team(), -job.spec().slots(), Integer::sum);
+        reserve(job, worker);
+        if (job.spec().urgent()) {
+            urgentUsed.merge(job.team(), job.need(), Resources::plus);
+        }
         starts.add(new JobPlan.Start(job, worker));
     }
 
--- a/core/src/main/java/org/quetzalscale/core/job/Reclaim.java
+++ b/core/src/main/java/org/quetzalscale/core/job/Reclaim.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.core.job;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -28,6 +29,9 @@
     /** Lowest share of its declared cores that a throttled job keeps, in percent. */
     private static final int MIN_THROTTLE_PERCENT = 25;
 
+    /** Run time before a job is stopped for one that is not urgent, so that work gets on. */
+    private static final long MIN_RUN_MILLIS = 5_000;
+
     private static final int MAX_JOBS_PER_PLAN = 32;
 
     private Reclaim() {}
@@ -71,17 +75,29 @@
                     new ArrayList<>(
                             state.runningOn(worker.worker()).stream()
                                     .filter(state::isUntouched)
-                                    .sorted(byLoss(false))
                                     .toList());
-            while (jobs.size() > 1 && state.comingFree(worker.worker()).memoryMib() < 0) {
-                state.stop(
-                        jobs.remove(0),
-                        true,
-                        "usage on " + worker.worker() + " exceeds its memory");
+            double excess = -state.comingFree(worker.worker()).memoryMib();
+            while (jobs.size() > 1 && excess > 0) {
+                RunningJob victim = smallestAbove(jobs, excess);
+                jobs.remove(victim);
+                excess -= victim.use().memoryMib();
+                state.stop(victim, true, "usage on " + worker.worker() + " exceeds its memory");
             }
         }
     }
 
+    /** The job that frees enough at the least cost, or the one that frees most. */
+    private static RunningJob smallestAbove(List<RunningJob> jobs, double excess) {
+        return jobs.stream()
+                .filter(job -> !job.spec().urgent() && job.use().memoryMib() >= excess)
+                .min(byLoss(false))
+                .orElseGet(
+                        () ->
+                                Collections.max(
+                                        jobs,
+                                        Comparator.comparingDouble(job -> job.use().memoryMib())));
+    }
+
     private static void makeRoom(PlanState state, WaitingJob job) {
         boolean entitled = state.isEntitled(job.team(), job.need());
         if (!entitled && !job.spec().urgent()) {
@@ -136,7 +152,11 @@
                 int declared = victim.spec().cores();
                 double kept = victim.use().cores() - missing;
                 int percent = (int) (declared == 0 ? 0 : 100 * kept / declared);
-                if (isVictim(state, job, victim, false) && percent >= MIN_THROTTLE_PERCENT) {
+                if (state.isUntouched(victim)
+                        && !victim.spec().urgent()
+                        && !victim.team().equals(job.team())
+                        && state.isBorrowed(victim.team(), new Resources(missing, 0, 0, 0))
+                        && percent >= MIN_THROTTLE_PERCENT) {
                     state.throttle(victim, Math.min(100, percent), missing);
                     state.reserve(job, worker.worker());
                     return true;
@@ -183,6 +203,9 @@
         if (!state.isUntouched(victim) || victim.spec().urgent()) {
             return false;
         }
+        if (!job.spec().urgent() && victim.ranMillis() < MIN_RUN_MILLIS) {
+            return false;
+        }
         if (victim.team().equals(job.team())) {
             return job.spec().urgent();
         }
--- a/core/src/main/java/org/quetzalscale/core/job/RunningJob.java
+++ b/core/src/main/java/org/quetzalscale/core/job/RunningJob.java
@@ -9,6 +9,7 @@
  * A job that holds a place on a worker, running or being stopped.
  *
  * @param use what it is estimated to use
+ * @param ranMillis run time of its present attempt
  * @param unsavedMillis run time since its last checkpoint, which a stop without one loses
  * @param remainingMillis run time that it is estimated to need still
  * @param throttlePercent share of its declared cores that it may use, 1 to 100
@@ -16,6 +17,7 @@
 public record RunningJob(
         StoredJob stored,
         Resources use,
+        long ranMillis,
         long unsavedMillis,
         long remainingMillis,
         int throttlePercent) {
