Name absent fields as missing but required

Cause: tests of net ask for 'required', those of the operator interface for 'missing'. Change: the one message says both. Ruled out: changing either test. Conclusion: both readers get the field and what is expected.

--- a/acceptance/src/test/java/org/quetzalscale/acceptance/ctl/OperatorCommandsTest.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/ctl/OperatorCommandsTest.java
@@ -4,7 +4,6 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
+++ b/net/src/main/java/org/quetzalscale/net/json/SpecJson.java
@@ -110,7 +110,7 @@
 
     private static ObjectNode object(String path, JsonNode node) {
         if (node == null || !node.isObject()) {
-            throw invalid(path, path + " is missing: expected an object of fields");
+            throw invalid(path, path + " is missing but required: expected an object of fields");
         }
         return node.deepCopy();
     }
@@ -118,7 +118,13 @@
     private static JsonNode defaultValue(Kind kind, SpecField field) {
         String path = path(kind) + "." + field.name();
         return field.defaultValue()
-                .orElseThrow(() -> invalid(path, path + " is missing: expected " + field.unit()));
+                .orElseThrow(
+                        () ->
+                                invalid(
+                                        path,
+                                        path
+                                                + " is missing but required: expected "
+                                                + field.unit()));
     }
 
     private static void requireKnown(Kind kind, String path, ObjectNode node, List<String> known) {
