Introduce a new process to the others before its copy is valid

Cause: a process that restarted at another address was valid by its first table read before an acceptor with a lagging list knew of it, so a change could be called in force without it.

Change: a table read makes a copy valid only after each instance on the platform's list was called once (answered, refused or timed out), or 5 s after the start without a list. A refusal at an address that is no longer the known one is ignored. The test waits until the new process is valid instead of until somebody is known under its id, which the former process met as well. The simulation and ScriptedTable use core's VirtualTime and FaultyTable.

Ruled out: a wait for the list's lag, which has no bound; rows of started processes in the table, read at each write, which close the remaining case of a new process that can't reach the acceptor, at one scan for each write.

Conclusion: a new process is known to every instance that it can reach before it accepts work.

--- a/core/src/test/java/org/quetzalscale/core/config/ConfigInForceTest.java
+++ b/core/src/test/java/org/quetzalscale/core/config/ConfigInForceTest.java
@@ -39,6 +39,8 @@
         ConfigSimulation world = started(3, validity);
         world.nodes.get(1).tableCut = true;
         world.nodes.get(2).tableCut = true;
+        // Reads that are under way end before the write, so that nobody hears of it from the table.
+        world.run(500);
         new Fault(Fault.Type.ISOLATE, 0, 0, 0).applyTo(world);
         world.nodes.get(0).write();
         world.run(4_000);
--- a/core/src/test/java/org/quetzalscale/core/config/ConfigSimulation.java
+++ b/core/src/test/java/org/quetzalscale/core/config/ConfigSimulation.java
@@ -1,13 +1,11 @@
 package org.quetzalscale.core.config;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,6 +18,7 @@
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.TeamSpec;
+import org.quetzalscale.core.time.VirtualTime;
 
 /**
  * Several instances, the table and the links between them, under virtual time. After each step it
@@ -42,13 +41,7 @@
     private final Random random;
     private final Supplier<ValidityTracker> validity;
     private final List<Change> table = new ArrayList<>();
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(
-                    Comparator.comparingLong(Event::atMillis).thenComparing(Event::order));
-    private long nowMillis;
-    private long order;
-
-    private record Event(long atMillis, long order, Runnable action) {}
+    private final VirtualTime time = new VirtualTime();
 
     ConfigSimulation(int instances, long seed, Supplier<ValidityTracker> validity) {
         this.random = new Random(seed);
@@ -59,21 +52,16 @@
     }
 
     void run(long millis) {
-        for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
-            while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
-                events.poll().action().run();
-            }
+        long endMillis = time.nowMillis() + (millis + STEP_MILLIS - 1) / STEP_MILLIS * STEP_MILLIS;
+        while (time.nowMillis() < endMillis) {
+            time.advance(STEP_MILLIS);
             nodes.stream().filter(Node::isRunning).forEach(Node::step);
             nodes.forEach(Node::check);
         }
     }
 
     void freeze(Node node, long millis) {
-        node.frozenUntilMillis = nowMillis + millis;
-    }
-
-    private void after(long millis, Runnable action) {
-        events.add(new Event(nowMillis + millis, order++, action));
+        node.frozenUntilMillis = time.nowMillis() + millis;
     }
 
     private long delay() {
@@ -111,7 +99,7 @@
         }
 
         boolean isRunning() {
-            return alive && nowMillis >= frozenUntilMillis;
+            return alive && time.nowMillis() >= frozenUntilMillis;
         }
 
         boolean isValid() {
@@ -119,7 +107,7 @@
         }
 
         long clock() {
-            return (long) (nowMillis * clockRate);
+            return (long) (time.nowMillis() * clockRate);
         }
 
         void kill() {
@@ -178,11 +166,11 @@
         }
 
         private void step() {
-            if (nowMillis % PING_MILLIS == 0) {
+            if (time.nowMillis() % PING_MILLIS == 0) {
                 nodes.stream().filter(other -> other != this).forEach(this::dialOrPing);
                 claim(state.seen());
             }
-            if (nowMillis % CHECK_MILLIS == 0) {
+            if (time.nowMillis() % CHECK_MILLIS == 0) {
                 readTable();
                 if (!listDown) {
                     state.list(nodes.stream().map(Node::member).toList(), clock());
@@ -211,7 +199,7 @@
 
         private void dialOrPing(Node other) {
             Long since = linkedSince.get(other);
-            if (since != null && nowMillis - since < DEAD_MILLIS) {
+            if (since != null && time.nowMillis() - since < DEAD_MILLIS) {
                 ping(other);
                 return;
             }
@@ -235,7 +223,7 @@
                         node.send(
                                 this,
                                 self -> {
-                                    self.linkedSince.put(node, nowMillis);
+                                    self.linkedSince.put(node, time.nowMillis());
                                     self.state.helloAck(node.id, answering, others, self.clock());
                                 });
                     });
@@ -257,7 +245,7 @@
                         node.send(
                                 this,
                                 self -> {
-                                    self.linkedSince.put(node, nowMillis);
+                                    self.linkedSince.put(node, time.nowMillis());
                                     self.state.statement(
                                             node.id, process, askedMillis, statement, self.clock());
                                 });
@@ -270,7 +258,7 @@
             if (tableDown || tableCut) {
                 return;
             }
-            after(
+            time.schedule(
                     firstHalf,
                     () -> {
                         Revision revision = new Revision(table.size());
@@ -299,7 +287,7 @@
             if (target == this || cutTo.contains(target)) {
                 return;
             }
-            after(
+            time.schedule(
                     delay(),
                     () -> {
                         if (!cutTo.contains(target)) {
@@ -311,14 +299,14 @@
         /** Runs the action in the present process, later if it is frozen, never if it ended. */
         private void onSelf(long millis, Consumer<Node> action) {
             long process = incarnation;
-            after(
+            time.schedule(
                     millis,
                     () -> {
                         if (!alive || incarnation != process) {
                             return;
                         }
-                        if (nowMillis < frozenUntilMillis) {
-                            onSelf(frozenUntilMillis - nowMillis, action);
+                        if (time.nowMillis() < frozenUntilMillis) {
+                            onSelf(frozenUntilMillis - time.nowMillis(), action);
                             return;
                         }
                         action.accept(this);
@@ -337,7 +325,7 @@
                                 + " accepts under "
                                 + revision
                                 + " at "
-                                + nowMillis
+                                + time.nowMillis()
                                 + " ms, with "
                                 + inForce
                                 + " in force");
--- a/core/src/test/java/org/quetzalscale/core/config/ConfigStoreTest.java
+++ b/core/src/test/java/org/quetzalscale/core/config/ConfigStoreTest.java
@@ -33,6 +33,7 @@
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowCodec;
 import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.TableFault;
 import org.quetzalscale.core.table.Transaction;
 
 class ConfigStoreTest {
@@ -83,7 +84,7 @@
     }
 
     private LimitRow limit(String team) {
-        Row row = join(table.rows.read(new RowKey("limit/" + team))).orElseThrow();
+        Row row = join(table.faulty.actual().read(new RowKey("limit/" + team))).orElseThrow();
         return codecs.limit().decode(row.value());
     }
 
@@ -111,14 +112,14 @@
     class LostAnswers {
         @Test
         void areReadBack() {
-            table.outcomes.add(ScriptedTable.Outcome.ANSWER_LOST);
+            table.faulty.failCommits(TableFault.LOSE_ANSWER);
             assertThat(write(team("a", 5)).get(0).revision()).isEqualTo(new Revision(1));
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
 
         @Test
         void ofWritesThatNeverArrivedLeadToASecondSending() {
-            table.outcomes.add(ScriptedTable.Outcome.REQUEST_LOST);
+            table.faulty.failCommits(TableFault.LOSE_REQUEST);
             write(team("a", 5));
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
@@ -126,14 +127,14 @@
         // The first sending arrives late, so the second one conflicts with it.
         @Test
         void ofWritesThatArriveLateAreNotAcceptedTwice() {
-            table.outcomes.add(ScriptedTable.Outcome.DELAYED);
+            table.delayNextCommit();
             assertThat(write(team("a", 5))).hasSize(1);
             assertThat(load().revision()).isEqualTo(new Revision(1));
         }
 
         @Test
         void areNotTakenForAnotherWritersChange() {
-            table.outcomes.add(ScriptedTable.Outcome.REQUEST_LOST);
+            table.faulty.failCommits(TableFault.LOSE_REQUEST);
             table.beforeCommit =
                     () -> join(other.write(ConfigSnapshot.EMPTY, ConfigWrite.of(team("b", 1))));
             write(team("a", 5));
@@ -143,18 +144,17 @@
 
         @Test
         void areReportedIfTheTableCanNotBeRead() {
-            table.outcomes.add(ScriptedTable.Outcome.ANSWER_LOST);
-            table.beforeCommit = () -> table.readsFail = true;
+            table.faulty.failCommits(TableFault.LOSE_ANSWER);
+            table.beforeCommit = () -> table.faulty.failReads(TableFault.DOWN);
             expect(ErrorKind.STORE_OUTCOME_UNKNOWN, team("a", 5));
         }
     }
 
     // Whatever happens to commits, a write that returned is applied once, in its order.
     @Property(tries = 300, seed = "12")
-    void neverLoseOrRepeatAnAcceptedWrite(
-            @ForAll @Size(max = 30) List<ScriptedTable.Outcome> outcomes) {
+    void neverLoseOrRepeatAnAcceptedWrite(@ForAll @Size(max = 30) List<TableFault> faults) {
         ConfigStoreTest fresh = new ConfigStoreTest();
-        fresh.table.outcomes.addAll(outcomes);
+        fresh.table.faulty.failCommits(faults.toArray(TableFault[]::new));
         long highest = 0;
         for (int i = 0; i < 10; i++) {
             String name = "t" + i;
@@ -240,13 +240,15 @@
         @Test
         void keepTheBlocksOfATeamWhenItsLimitChanges() {
             write(team("a", 5));
-            Row row = join(table.rows.read(new RowKey("limit/a"))).orElseThrow();
+            Row row = join(table.faulty.actual().read(new RowKey("limit/a"))).orElseThrow();
             LimitRow dealt = limit("a").with("e1", new Block(4, 4));
             join(
-                    table.rows.commit(
-                            Transaction.builder()
-                                    .replace(row, codecs.limit().encode(dealt))
-                                    .build()));
+                    table.faulty
+                            .actual()
+                            .commit(
+                                    Transaction.builder()
+                                            .replace(row, codecs.limit().encode(dealt))
+                                            .build()));
             write(ResourceEdit.replace("a", new TeamSpec(1, 2), Optional.empty()));
             assertThat(limit("a")).isEqualTo(dealt.withLimit(2));
             write(ResourceEdit.delete(Kind.TEAMS, "a", Optional.empty()));
@@ -266,7 +268,8 @@
                 List<Change> changes = join(store.write(base, ConfigWrite.of(edit)));
                 base = base.apply(changes.get(0));
             }
-            assertThat(join(table.rows.scan("change/"))).hasSize(ConfigStore.KEPT_CHANGES);
+            assertThat(join(table.faulty.actual().scan("change/")))
+                    .hasSize(ConfigStore.KEPT_CHANGES);
             assertThat(join(store.reader().advance(ConfigSnapshot.EMPTY, base.revision())))
                     .satisfies(
                             loaded ->
--- a/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
@@ -43,6 +43,10 @@
     private static final int MAX_GAP_CHANGES = 64;
 
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
+
+    /** Time after which a new process goes on without the platform's list. */
+    private static final long INTRODUCTION_TIMEOUT_MILLIS = 5_000;
+
     private static final long WAITER_INTERVAL_MILLIS = 50;
     private static final long IN_FORCE_TIMEOUT_MILLIS = 10_000;
 
@@ -62,6 +66,8 @@
     private volatile ConfigSnapshot snapshot = ConfigSnapshot.EMPTY;
     private volatile long validUntilMillis = Long.MIN_VALUE;
     private volatile SiblingLinks links = SiblingLinks.NONE;
+    private volatile boolean introduced;
+    private volatile long startedMillis;
 
     /** Creates a service whose copy is empty and not valid. */
     public ConfigService(
@@ -92,7 +98,9 @@
 
     /** Starts to read the table; the copy becomes valid with the first successful check. */
     public void start() {
+        startedMillis = time.nowMillis();
         if (links == SiblingLinks.NONE) {
+            introduced = true;
             list(List.of());
         }
         executor.scheduleAtFixedRate(this::check, 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -104,6 +112,16 @@
         archive.load().thenAccept(this::offerArchived);
     }
 
+    /**
+     * Takes that each instance on the platform's list was called once. Before that, a table read
+     * does not make the copy valid: an instance that accepts a change must know of this one to wait
+     * for it, and its own list may lag.
+     */
+    public void introduced() {
+        introduced = true;
+        execute(this::check);
+    }
+
     /** Stops all activity; the copy stays readable until its validity expires. */
     public void stop() {
         executor.shutdownNow();
@@ -314,6 +332,9 @@
 
     private void check() {
         archive();
+        if (!introduced && time.nowMillis() - startedMillis < INTRODUCTION_TIMEOUT_MILLIS) {
+            return;
+        }
         long startMillis = time.nowMillis();
         reader().revision()
                 .whenComplete(
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.quetzalscale.core.config.ChangeRecord;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.fleet.InstanceDirectory;
@@ -64,7 +65,10 @@
     private final SiblingAddresses addresses = new SiblingAddresses();
     private final Map<InstanceId, OutgoingLink> links = new ConcurrentHashMap<>();
     private final Set<InstanceId> connecting = ConcurrentHashMap.newKeySet();
+    private final Set<InstanceId> called = ConcurrentHashMap.newKeySet();
+    private final AtomicBoolean introduced = new AtomicBoolean();
     private volatile Set<InstanceId> listed = Set.of();
+    private volatile boolean listKnown;
     private volatile boolean stopped;
     private List<ScheduledFuture<?>> tasks = List.of();
     private Channel listener;
@@ -193,6 +197,22 @@
         }
         listed = present;
         config.list(members);
+        if (!listKnown) {
+            listKnown = true;
+            pingAll();
+            checkIntroduced();
+        }
+    }
+
+    private void called(InstanceId id) {
+        called.add(id);
+        checkIntroduced();
+    }
+
+    private void checkIntroduced() {
+        if (listKnown && called.containsAll(listed) && introduced.compareAndSet(false, true)) {
+            config.introduced();
+        }
     }
 
     private void pingAll() {
@@ -238,7 +258,10 @@
                             connecting.remove(id);
                             if (connected.isSuccess()) {
                                 greet(((ChannelFuture) connected).channel(), id);
-                            } else if (isRefusal(connected.cause())) {
+                                return;
+                            }
+                            if (isRefusal(connected.cause())
+                                    && addresses.find(id).equals(address)) {
                                 addresses.refused(id, address.get());
                                 config.refused(id, calledMillis);
                             }
@@ -281,9 +304,21 @@
     }
 
     private void outgoing(SocketChannel channel, InstanceId id) {
-        OutgoingLink link = new OutgoingLink(channel, id, config, time, this::introduced);
+        OutgoingLink link =
+                new OutgoingLink(
+                        channel, id, config, time, introduction -> acknowledged(id, introduction));
         links.put(id, link);
-        channel.closeFuture().addListener(closed -> links.remove(id, link));
+        channel.closeFuture()
+                .addListener(
+                        closed -> {
+                            links.remove(id, link);
+                            called(id);
+                        });
+    }
+
+    private void acknowledged(InstanceId id, SiblingFrame.Introduction introduction) {
+        introduced(introduction);
+        called(id);
     }
 
     private ChannelInitializer<SocketChannel> initializer(
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
@@ -216,7 +216,7 @@
         void reachAnInstanceThatRestartedAtAnotherAddress() throws Exception {
             instances.get(1).stop();
             Instance moved = new Instance("e2", false);
-            await(() -> instances.get(0).config.known().size() == 1);
+            await(moved.config::isValid);
             assertThat(instances.get(0).write(1).inForce()).isTrue();
             assertThat(moved.revision()).isEqualTo(1);
         }
