--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -28,7 +28,7 @@
  * <p>A body that can be kept is read whole before a worker is asked for, so that a slow caller
  * holds no place on a worker and the request can be sent again.
  */
-final class Exchange implements AttemptListener {
+final class Exchange implements CallerTask, AttemptListener {
     private enum Phase {
         BODY,
         INTENT,
@@ -48,6 +48,8 @@
     private final EventLoop loop;
     private final KeptBytes kept;
     private final IntentHold intent;
+    // Null for a request without an idempotency key.
+    private final Fingerprint fingerprint;
     private Phase phase = Phase.BODY;
     private boolean bodyWhole;
     // False once a part of the body went to a target without being kept.
@@ -74,12 +76,14 @@
         this.connection = connection;
         this.request = request;
         this.loop = loop;
-        this.kept = new KeptBytes(connection.allocator(), context.budget());
+        this.kept =
+                new KeptBytes(connection.allocator(), context.budget(), request.contentLength());
         this.intent = new IntentHold(context.intents(), loop);
+        this.fingerprint = request.isKeyed() ? new Fingerprint(request) : null;
     }
 
-    /** Begins; the connection delivers the body as it is asked for. */
-    void start() {
+    @Override
+    public void start() {
         context.running().incrementAndGet();
         deadline = loop.schedule(this::deadlinePassed, remainingMillis(), TimeUnit.MILLISECONDS);
         if (request.isKeyed() && request.contentLength() > context.limits().keyedBodyBytes()) {
@@ -94,8 +98,8 @@
         }
     }
 
-    /** A part of the body, which is taken over. */
-    void body(HttpContent part) {
+    @Override
+    public void body(HttpContent part) {
         if (attempt != null) {
             attempt.sendBody(part);
             return;
@@ -106,6 +110,9 @@
         }
         boolean last = part instanceof LastHttpContent;
         boolean withinBudget = kept.append(part.content());
+        if (fingerprint != null) {
+            fingerprint.add(part.content());
+        }
         part.release();
         if (request.isKeyed() && kept.size() > context.limits().keyedBodyBytes()) {
             fail(
@@ -123,20 +130,21 @@
         }
     }
 
-    /** The rest of the body can not be decoded. */
-    void bodyMalformed(String reason) {
+    @Override
+    public void bodyMalformed(String reason) {
         fail(AttemptOutcome.ABANDONED, RequestErrors.bodyMalformed(reason));
     }
 
-    /** The caller takes more bytes of the answer. */
-    void callerWritable() {
+    @Override
+    public void callerWritable() {
         if (phase == Phase.ANSWERING && attempt != null) {
             attempt.readAnswer();
         }
     }
 
-    /** The caller closed its connection. Work that a target has whole goes on to its end. */
-    void callerGone() {
+    /** Work that a target has whole goes on to its end, although its caller left. */
+    @Override
+    public void callerGone() {
         if (phase == Phase.ENDED) {
             return;
         }
@@ -161,7 +169,7 @@
 
     private void begin() {
         phase = Phase.INTENT;
-        intent.begin(request, kept.view(), remainingMillis(), this::intentFound);
+        intent.begin(request, fingerprint.finish(), remainingMillis(), this::intentFound);
     }
 
     private void intentFound(IntentResult result, Throwable failure) {
@@ -334,17 +342,18 @@
         finishAssignment(
                 status >= FIRST_FAILURE_STATUS ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED);
         end(Optional.empty(), false);
-        if (recorder != null) {
-            recorder.complete(this::leave);
-        } else {
-            leave();
-        }
         if (callerGone) {
             last.release();
         } else {
             // Without trailers, which a recorded outcome does not hold either.
             connection.write(new DefaultLastHttpContent(last.content()));
         }
+        // After the write, so that the request counts as running without a gap.
+        if (recorder != null) {
+            recorder.complete(this::leave);
+        } else {
+            leave();
+        }
     }
 
     @Override
