--- a/core/src/main/java/org/quetzalscale/core/queue/FairAdmission.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/FairAdmission.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.locks.ReentrantLock;
@@ -99,6 +100,7 @@
      */
     public void tick() {
         long nowMillis = time.nowMillis();
+        workers.expireReports();
         for (Shard shard : shards) {
             List<Waiting> late = new ArrayList<>();
             List<PoolId> pools;
@@ -117,6 +119,25 @@
         }
     }
 
+    /** Requests that run or wait here by pool, for the report to siblings. */
+    public Map<PoolId, Integer> demand() {
+        Map<PoolId, Integer> demands = new TreeMap<>();
+        for (Shard shard : shards) {
+            shard.lock.lock();
+            try {
+                shard.pools.forEach(
+                        (pool, queue) -> {
+                            if (queue.demand() > 0) {
+                                demands.put(pool, queue.demand());
+                            }
+                        });
+            } finally {
+                shard.lock.unlock();
+            }
+        }
+        return demands;
+    }
+
     /** Starts what waits for units of the team, after units arrived. */
     public void unitsArrived(TeamId team) {
         for (Shard shard : shards) {
@@ -207,9 +228,13 @@
         shard.lock.lock();
         try {
             PoolQueue queue = shard.queue(pool);
+            int part = workers.part(pool, queue.demand());
             queue.dispatch(
                     nowMillis,
-                    entry -> tryStart(entry, queue, after),
+                    entry ->
+                            queue.running() < part
+                                    ? tryStart(entry, queue, after)
+                                    : StartResult.NO_SLOT,
                     entry -> after.add(() -> endLate(entry)));
         } finally {
             shard.lock.unlock();
--- a/core/src/main/java/org/quetzalscale/core/queue/PoolQueue.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/PoolQueue.java
@@ -32,6 +32,16 @@
         return queued.getOrDefault(queue, 0);
     }
 
+    /** Requests that run or wait. */
+    int demand() {
+        return running + waiting;
+    }
+
+    /** Requests that run. */
+    int running() {
+        return running;
+    }
+
     boolean waits(TeamId team) {
         ClassQueue own = classes.get(Optional.of(team));
         return own != null && own.size() > 0;
--- a/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
+++ b/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
@@ -113,18 +113,50 @@
                 });
     }
 
-    /** Takes over what a sibling reported: its requests in flight by worker. */
+    /** Takes over a sibling's requests in flight by worker, without its demands. */
     public void report(InstanceId sibling, Map<WorkerId, Integer> inFlight) {
+        report(sibling, inFlight, Map.of());
+    }
+
+    /**
+     * Takes over what a sibling reported.
+     *
+     * @param inFlight its requests in flight by worker
+     * @param demand its requests in flight and waiting by pool
+     */
+    public void report(
+            InstanceId sibling, Map<WorkerId, Integer> inFlight, Map<PoolId, Integer> demand) {
         reportLock.lock();
         try {
             drop(sibling);
-            reports.put(sibling, new SiblingReport(time.nowMillis(), inFlight));
+            reports.put(sibling, new SiblingReport(time.nowMillis(), inFlight, demand));
             inFlight.forEach((worker, count) -> addSiblings(worker, count));
         } finally {
             reportLock.unlock();
         }
     }
 
+    /**
+     * The part of the pool's slots that this instance should use, in proportion to its demand; all
+     * slots if they suffice for the demands of all instances. Without it, instances that hold slots
+     * take each slot that becomes free again, and those without never get one.
+     *
+     * @param demand requests of this instance that run or wait
+     */
+    public int part(PoolId pool, int demand) {
+        int all = demand;
+        reportLock.lock();
+        try {
+            for (SiblingReport report : reports.values()) {
+                all += report.demand().getOrDefault(pool, 0);
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        int slots = slots(pool);
+        return all <= slots ? slots : (int) (((long) slots * demand + all - 1) / all);
+    }
+
     /** Drops reports of siblings that have sent none for a second. */
     public void expireReports() {
         long nowMillis = time.nowMillis();
--- a/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
@@ -15,6 +15,7 @@
 import org.quetzalscale.core.Fixtures;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.retry.RetryBudget;
@@ -237,6 +238,18 @@
         }
     }
 
+    /** Guards against an instance that starves its siblings of slots in a full pool. */
+    @Test
+    void leavesSiblingsTheirPartOfAFullPool() {
+        config.worker("w1", 4).queue("deep", true, 100);
+        workers.report(new InstanceId("i-2"), Map.of(), Map.of(Fixtures.POOL, 100));
+        for (int i = 0; i < 100; i++) {
+            admit("deep", null);
+        }
+        assertThat(admission.demand()).containsEntry(Fixtures.POOL, 100);
+        assertThat(workers.inFlight()).containsEntry(Fixtures.workerId("w1"), 2);
+    }
+
     /** Guards against retries that multiply the load of a failing pool. */
     @Test
     void boundsRetriesByTheBudget() {
--- a/core/src/test/java/org/quetzalscale/core/route/WorkerChooserTest.java
+++ b/core/src/test/java/org/quetzalscale/core/route/WorkerChooserTest.java
@@ -83,7 +83,7 @@
         @Test
         void leavesOutFullWorkersUntilAReportExpires() {
             config.worker("w1", 8);
-            chooser.report(SIBLING, Map.of(new WorkerId("w1"), 7));
+            chooser.report(SIBLING, Map.of(new WorkerId("w1"), 7), Map.of());
             assertThat(choose()).isPresent();
             assertThat(choose()).isEmpty();
             time.advance(WorkerChooser.REPORT_VALID_MILLIS);
@@ -101,11 +101,21 @@
         }
     }
 
+    /** Guards against an instance that keeps all slots of a full pool. */
+    @Test
+    void dividesAFullPoolByDemand() {
+        config.worker("w1", 8);
+        assertThat(chooser.part(Fixtures.POOL, 30)).isEqualTo(8);
+        chooser.report(SIBLING, Map.of(), Map.of(Fixtures.POOL, 10));
+        assertThat(chooser.part(Fixtures.POOL, 30)).isEqualTo(6);
+        assertThat(chooser.part(Fixtures.POOL, 10)).isEqualTo(4);
+    }
+
     /** Guards against a chooser that ignores the load. */
     @Test
     void prefersTheLessLoadedOfTwo() {
         config.worker("w1", 8).worker("w2", 8);
-        chooser.report(SIBLING, Map.of(new WorkerId("w1"), 4));
+        chooser.report(SIBLING, Map.of(new WorkerId("w1"), 4), Map.of());
         for (int i = 0; i < 4; i++) {
             assertThat(choose()).contains(new WorkerId("w2"));
         }
--- a/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
+++ b/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.quetzalscale.standin.experiment.ExperimentCommand;
 import org.quetzalscale.standin.load.LoadCommand;
 import org.quetzalscale.standin.platform.PlatformCommand;
 import org.quetzalscale.standin.target.TargetCommand;
@@ -12,7 +13,13 @@
         name = "standin",
         description = "Stand-ins for the platform and for targets, and a load tool",
         defaultCommand = Help.class,
-        commands = {PlatformCommand.class, TargetCommand.class, LoadCommand.class, Help.class})
+        commands = {
+            PlatformCommand.class,
+            TargetCommand.class,
+            LoadCommand.class,
+            ExperimentCommand.class,
+            Help.class
+        })
 public final class StandinMain {
     private static final int USAGE_EXIT_CODE = 2;
 
