--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,6 +27,7 @@
 import org.quetzalscale.daemon.target.BatchWriter;
 import org.quetzalscale.daemon.target.ReadLoop;
 import org.quetzalscale.net.http.HttpReply;
+import org.tinylog.Logger;
 
 /**
  * A caller's connection. It serves one request at a time, so pipelined requests are answered in
@@ -37,6 +39,8 @@
     private static final int LINGER_MILLIS = 1_000;
     private static final int MAX_LINGER_BYTES = 1 << 20;
 
+    private static final String TEAM_CALLS = "/v1/";
+
     private enum State {
         WAITING,
         SERVING,
@@ -54,7 +58,7 @@
     private ReadLoop reads;
     private BatchWriter writer;
     private State state = State.WAITING;
-    private Exchange exchange;
+    private CallerTask task;
     private HttpRequest next;
     private ScheduledFuture<?> timer;
     private boolean headArriving;
@@ -107,20 +111,26 @@
 
     /** Sends the head of the answer. */
     void writeHead(HttpResponse head) {
+        beginAnswer(head);
+        writer.write(head);
+    }
+
+    private void beginAnswer(HttpResponse head) {
         answerBegun = true;
         closeAfterAnswer |= shared.draining().getAsBoolean() || (bodyExpected && !bodyEnded);
         if (closeAfterAnswer) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        writer.write(head);
     }
 
     /** Sends a part of the answer's body; takes the content over. The last part ends the answer. */
     void write(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        writer.write(content);
         if (last) {
+            writeLast(content);
             endAnswer();
+        } else {
+            writer.write(content);
         }
     }
 
@@ -133,7 +143,17 @@
             cut();
             return;
         }
-        HttpReply reply = HttpReply.error(error, requestId);
+        if (error.kind() == ErrorKind.INTERNAL) {
+            Logger.error(error, "request {} failed", requestId);
+        }
+        answer(HttpReply.error(error, requestId), requestId);
+    }
+
+    /** Answers with a small body. */
+    void answer(HttpReply reply, String requestId) {
+        if (state == State.CLOSED) {
+            return;
+        }
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -144,12 +164,15 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, reply.contentType())
                 .set(EndToEndHeaders.REQUEST_ID, requestId);
         HttpUtil.setContentLength(response, reply.body().length);
-        writeHead(response);
+        beginAnswer(response);
+        writeLast(response);
         endAnswer();
     }
 
     /** Ends the connection within the answer, so that the caller sees that it is not whole. */
     void cut() {
+        // Without its head, the caller could take the request for one that was never answered.
+        context.flush();
         close();
     }
 
@@ -177,7 +200,7 @@
                     new QuetzalscaleException(
                             ErrorKind.QUEUE_FULL,
                             "this instance has as many connections as permitted"),
-                    "");
+                    RequestParser.newRequestId());
             return;
         }
         startTimer(shared.limits().idleMillis());
@@ -208,8 +231,8 @@
         if (blocked) {
             blocked = false;
             proceed();
-        } else if (exchange != null) {
-            exchange.callerWritable();
+        } else if (task != null) {
+            task.callerWritable();
         }
     }
 
@@ -237,18 +260,18 @@
             return;
         }
         HttpContent content = (HttpContent) message;
-        if (state != State.SERVING || exchange == null) {
+        if (state != State.SERVING || task == null) {
             content.release();
             return;
         }
         if (content.decoderResult().isFailure()) {
             content.release();
             closeAfterAnswer = true;
-            exchange.bodyMalformed(content.decoderResult().cause().getMessage());
+            task.bodyMalformed(content.decoderResult().cause().getMessage());
             return;
         }
         bodyEnded = content instanceof LastHttpContent;
-        exchange.body(content);
+        task.body(content);
         if (bodyEnded && (state == State.SERVING || state == State.WAITING)) {
             // Notices that the caller leaves; a pipelined request is held until its turn.
             reads.read();
@@ -267,15 +290,28 @@
         closeAfterAnswer = !HttpUtil.isKeepAlive(request) || request.decoderResult().isFailure();
         encoder.expect(request.method().equals(HttpMethod.HEAD));
         String requestId = RequestParser.requestId(request);
-        CallerRequest parsed;
         try {
-            parsed = parser.parse(request, requestId);
+            task = taskOf(request, requestId);
         } catch (RuntimeException e) {
             refuse(QuetzalscaleException.from(e), requestId);
             return;
         }
-        exchange = new Exchange(shared, this, parsed, context.channel().eventLoop());
-        exchange.start();
+        task.start();
+    }
+
+    /** Counts the request as running until the socket took its whole answer. */
+    private void writeLast(Object message) {
+        shared.running().incrementAndGet();
+        writer.write(message).addListener(written -> shared.running().decrementAndGet());
+    }
+
+    private CallerTask taskOf(HttpRequest request, String requestId) {
+        EventLoop loop = context.channel().eventLoop();
+        if (shared.teamHandler() != null && request.uri().startsWith(TEAM_CALLS)) {
+            VerifiedKey key = parser.parseTeamCall(request);
+            return new TeamCall(shared, this, request, requestId, key, loop);
+        }
+        return new Exchange(shared, this, parser.parse(request, requestId), loop);
     }
 
     private void refuse(QuetzalscaleException error, String requestId) {
@@ -294,7 +330,7 @@
     }
 
     private void endAnswer() {
-        exchange = null;
+        task = null;
         if (state != State.SERVING) {
             return;
         }
@@ -385,7 +421,7 @@
             refuse(
                     new QuetzalscaleException(
                             ErrorKind.REQUEST_TIMEOUT, "the head of the request came too slowly"),
-                    "");
+                    RequestParser.newRequestId());
             return;
         }
         close();
@@ -399,8 +435,8 @@
         stopTimer();
         next = null;
         context.close();
-        Exchange left = exchange;
-        exchange = null;
+        CallerTask left = task;
+        task = null;
         if (left != null) {
             left.callerGone();
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/RequestParser.java
@@ -37,6 +37,10 @@
         if (given.size() == 1 && REQUEST_ID.matcher(given.get(0)).matches()) {
             return given.get(0);
         }
+        return newRequestId();
+    }
+
+    static String newRequestId() {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return String.format("%016x%016x", random.nextLong(), random.nextLong());
     }
@@ -59,10 +63,7 @@
         }
         HttpHeaders headers = request.headers();
         Optional<VerifiedKey> key =
-                KeyVerifier.verify(
-                        snapshot,
-                        single(headers, HttpHeaderNames.AUTHORIZATION.toString()).orElse(null),
-                        spec.open());
+                KeyVerifier.verify(snapshot, authorization(headers), spec.open());
         Optional<String> idempotencyKey = idempotencyKey(headers, key.isPresent());
         long now = time.nowMillis();
         return new CallerRequest(
@@ -81,6 +82,18 @@
                 now + timeoutMillis(headers, spec));
     }
 
+    /**
+     * The key of a call that this process answers itself.
+     *
+     * @throws QuetzalscaleException with the run state NOT_RUN
+     */
+    VerifiedKey parseTeamCall(HttpRequest request) {
+        HeadCheck.requireWellFormed(request);
+        requireValid(config);
+        return KeyVerifier.verify(config.snapshot(), authorization(request.headers()), false)
+                .orElseThrow();
+    }
+
     /**
      * Requires that the configuration may be used for new work.
      *
@@ -94,6 +107,10 @@
         }
     }
 
+    private static String authorization(HttpHeaders headers) {
+        return single(headers, HttpHeaderNames.AUTHORIZATION.toString()).orElse(null);
+    }
+
     private static QueueId queueId(String name) {
         try {
             return new QueueId(name);
