--- a/core/src/main/java/org/quetzalscale/core/job/TaskTracker.java
+++ b/core/src/main/java/org/quetzalscale/core/job/TaskTracker.java
@@ -155,7 +155,7 @@
             boolean save = !job.cancelRequested() && !stopWithoutCheckpoint.contains(task);
             call(task, tracked, runner.stop(task, save), nowMillis);
         } else if (tracked.report == null) {
-            tracked.renewedAtMillis = nowMillis;
+            // A start of a task that runs already does not extend its lease; a renewal follows.
             WorkerId worker = new WorkerId(job.worker());
             call(
                     task,
--- a/core/src/test/java/org/quetzalscale/core/job/JobDriverTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobDriverTest.java
@@ -106,6 +106,25 @@
         }
     }
 
+    @Nested
+    class LongOutage {
+        /** Guards against tasks whose leases run out while nobody can hold the lease on starts. */
+        @Test
+        void anOutageOfThreeMinutesCostsNoRunningWork() {
+            JobSimulation simulation = new JobSimulation(5, 2, condition -> false);
+            for (int i = 0; i < 8; i++) {
+                simulation.submit(simulation.spec("a", 1, 30_000 + 40_000 * i, false, false));
+            }
+            simulation.run(5_000);
+            simulation.table.setDown(true);
+            simulation.run(180_000);
+            simulation.table.setDown(false);
+            simulation.run(SETTLE_MILLIS);
+            assertSettled(simulation);
+            assertThat(simulation.runner.executions()).hasSize(8);
+        }
+    }
+
     @Nested
     class Fence {
         /**
--- a/core/src/test/java/org/quetzalscale/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobSchedulerTest.java
@@ -45,7 +45,11 @@
     }
 
     private JobPlan plan() {
-        WorkerView worker = new WorkerView(WORKER, "p", CAPACITY, true, false);
+        return plan(false);
+    }
+
+    private JobPlan plan(boolean leaving) {
+        WorkerView worker = new WorkerView(WORKER, "p", CAPACITY, !leaving, leaving);
         return JobScheduler.plan(
                 new FleetView(
                         NOW_MILLIS,
@@ -130,6 +134,20 @@
         }
     }
 
+    @Nested
+    class Draining {
+        /** Guards against a planned stop that loses work. */
+        @Test
+        void longWorkIsStoppedWithACheckpointAndNothingStarts() {
+            run("r0", "a", size(4, 100), 0);
+            queue("b1", "b", true, 0, size(4, 100));
+            assertThat(plan(true).starts()).isEmpty();
+            assertThat(plan(true).stops())
+                    .singleElement()
+                    .satisfies(stop -> assertThat(stop.checkpointFirst()).isTrue());
+        }
+    }
+
     @Nested
     class Estimates {
         private static TaskReport report(int memoryMib) {
