Search for jobs to stop without sorting and hashing whole rows

Change: workers without jobs of teams above their share are passed over; jobs are sorted by loss once per worker and plan; decided jobs are looked up by identifier; the choice of a worker uses no streams.

Ruled out: looking at some workers only, which would not find the cheapest loss.

--- a/core/src/main/java/org/quetzalscale/core/job/JobScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobScheduler.java
@@ -161,29 +161,41 @@
 
     /** The fullest worker with room, so that large jobs find empty ones. */
     private static Optional<WorkerId> bestFit(PlanState state, WaitingJob job, Set<WorkerId> kept) {
-        return candidates(state, job)
-                .filter(worker -> !kept.contains(worker.worker()))
-                .filter(worker -> job.need().fitsIn(state.free(worker.worker())))
-                .min(
-                        Comparator.comparingDouble(
-                                        (WorkerView worker) ->
-                                                state.free(worker.worker())
-                                                        .max(Resources.NONE)
-                                                        .dominantPart(worker.capacity()))
-                                .thenComparing(WorkerView::worker))
-                .map(WorkerView::worker);
+        boolean anywhere = failedEverywhere(state, job);
+        WorkerId best = null;
+        double least = Double.MAX_VALUE;
+        for (WorkerView worker : state.accepting()) {
+            Resources free = state.free(worker.worker());
+            if (free.slots() < job.need().slots()
+                    || !job.need().fitsIn(free)
+                    || !isCandidate(worker, job, anywhere)
+                    || kept.contains(worker.worker())) {
+                continue;
+            }
+            double part = free.dominantPart(worker.capacity());
+            if (part < least) {
+                best = worker.worker();
+                least = part;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     /** Workers on which a job may run: not those where it failed, unless there is no other. */
     static Stream<WorkerView> candidates(PlanState state, WaitingJob job) {
-        boolean allAvoided =
-                !job.avoid().isEmpty()
-                        && state.view().workers().stream()
-                                .filter(worker -> worker.accepts() && worker.serves(job.spec()))
-                                .allMatch(worker -> job.avoid().contains(worker.worker()));
-        return state.view().workers().stream()
-                .filter(worker -> worker.accepts() && worker.serves(job.spec()))
-                .filter(worker -> allAvoided || !job.avoid().contains(worker.worker()));
+        boolean anywhere = failedEverywhere(state, job);
+        return state.accepting().stream().filter(worker -> isCandidate(worker, job, anywhere));
+    }
+
+    private static boolean isCandidate(WorkerView worker, WaitingJob job, boolean anywhere) {
+        return worker.serves(job.spec()) && (anywhere || !job.avoid().contains(worker.worker()));
+    }
+
+    private static boolean failedEverywhere(PlanState state, WaitingJob job) {
+        return !job.avoid().isEmpty()
+                && state.accepting().stream()
+                        .filter(worker -> worker.serves(job.spec()))
+                        .allMatch(worker -> job.avoid().contains(worker.worker()));
     }
 
     /** A team's place in the order of starts. */
--- a/core/src/main/java/org/quetzalscale/core/job/PlanState.java
+++ b/core/src/main/java/org/quetzalscale/core/job/PlanState.java
@@ -1,12 +1,14 @@
 package org.quetzalscale.core.job;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.share.MaxMinShare;
@@ -16,17 +18,18 @@
 /** The fleet while one plan is made: what is free, who uses how much, and what was decided. */
 final class PlanState {
     private final FleetView view;
-    private final Map<WorkerId, WorkerView> workers = new TreeMap<>();
+    private final List<WorkerView> accepting = new ArrayList<>();
     private final Map<TeamId, TeamView> teams = new TreeMap<>();
     private final Map<WorkerId, Resources> free = new HashMap<>();
     private final Map<WorkerId, Resources> coming = new HashMap<>();
     private final Map<WorkerId, List<RunningJob>> running = new HashMap<>();
+    private final Map<String, Map<WorkerId, List<RunningJob>>> sorted = new HashMap<>();
     private final Map<TeamId, Resources> used = new TreeMap<>();
     private final Map<TeamId, Resources> urgentUsed = new TreeMap<>();
     private final Map<TeamId, Integer> freeUnits = new HashMap<>();
     private final Map<TeamId, Integer> comingUnits = new HashMap<>();
     private final Map<TeamId, Resources> entitled;
-    private final Set<StoredJob> touched = new HashSet<>();
+    private final Set<JobId> touched = new HashSet<>();
     private final Resources capacity;
     private final List<JobPlan.Start> starts = new ArrayList<>();
     private final List<JobPlan.Stop> stops = new ArrayList<>();
@@ -36,9 +39,9 @@
         this.view = view;
         Resources total = Resources.NONE;
         for (WorkerView worker : view.workers()) {
-            workers.put(worker.worker(), worker);
             free.put(worker.worker(), worker.capacity());
             if (worker.accepts()) {
+                accepting.add(worker);
                 total = total.plus(worker.capacity());
             }
         }
@@ -64,10 +67,32 @@
         return view;
     }
 
+    /** Workers that take new work. */
+    List<WorkerView> accepting() {
+        return accepting;
+    }
+
+    /** Teams that have more than their entitlement. */
+    Set<TeamId> borrowers() {
+        Set<TeamId> borrowers = new HashSet<>();
+        for (TeamId team : used.keySet()) {
+            if (isBorrowed(team, Resources.NONE)) {
+                borrowers.add(team);
+            }
+        }
+        return borrowers;
+    }
+
     List<RunningJob> runningOn(WorkerId worker) {
         return running.getOrDefault(worker, List.of());
     }
 
+    /** The jobs on a worker in this order, sorted once for each name of an order. */
+    List<RunningJob> runningOn(WorkerId worker, String name, Comparator<RunningJob> order) {
+        return sorted.computeIfAbsent(name, key -> new HashMap<>())
+                .computeIfAbsent(worker, key -> runningOn(key).stream().sorted(order).toList());
+    }
+
     Resources free(WorkerId worker) {
         return free.getOrDefault(worker, Resources.NONE);
     }
@@ -112,7 +137,7 @@
     }
 
     boolean isUntouched(RunningJob job) {
-        return !job.stopping() && !touched.contains(job.stored());
+        return !job.stopping() && !touched.contains(job.stored().job().id());
     }
 
     void start(WaitingJob job, WorkerId worker) {
@@ -130,13 +155,13 @@
     }
 
     void stop(RunningJob job, boolean checkpointFirst, String reason) {
-        touched.add(job.stored());
+        touched.add(job.stored().job().id());
         expect(job);
         stops.add(new JobPlan.Stop(job, checkpointFirst, reason));
     }
 
     void throttle(RunningJob job, int percent, double freedCores) {
-        touched.add(job.stored());
+        touched.add(job.stored().job().id());
         free.merge(job.worker(), new Resources(freedCores, 0, 0, 0), Resources::plus);
         throttles.add(new JobPlan.Throttle(job, percent));
     }
--- a/core/src/main/java/org/quetzalscale/core/job/Reclaim.java
+++ b/core/src/main/java/org/quetzalscale/core/job/Reclaim.java
@@ -4,9 +4,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.quetzalscale.core.id.TeamId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.share.Resources;
@@ -32,6 +34,8 @@
     /** Run time before a job is stopped for one that is not urgent, so that work gets on. */
     private static final long MIN_RUN_MILLIS = 5_000;
 
+    private static final Comparator<RunningJob> LOSS = byLoss(false);
+    private static final Comparator<RunningJob> LOSS_TO_URGENT = byLoss(true);
     private static final int MAX_JOBS_PER_PLAN = 32;
 
     private Reclaim() {}
@@ -90,7 +94,7 @@
     private static RunningJob smallestAbove(List<RunningJob> jobs, double excess) {
         return jobs.stream()
                 .filter(job -> !job.spec().urgent() && job.use().memoryMib() >= excess)
-                .min(byLoss(false))
+                .min(LOSS)
                 .orElseGet(
                         () ->
                                 Collections.max(
@@ -118,8 +122,13 @@
         if (!ownOnly && throttleFor(state, job)) {
             return;
         }
+        Set<TeamId> giving = ownOnly ? new HashSet<>() : state.borrowers();
+        if (job.spec().urgent()) {
+            giving.add(job.team());
+        }
         JobScheduler.candidates(state, job)
-                .map(worker -> victims(state, job, worker, ownOnly))
+                .filter(worker -> hasAny(state.runningOn(worker.worker()), giving))
+                .map(worker -> victims(state, job, worker, giving))
                 .flatMap(Optional::stream)
                 .min(Comparator.comparingDouble(Victims::loss))
                 .ifPresent(
@@ -134,6 +143,15 @@
                         });
     }
 
+    private static boolean hasAny(List<RunningJob> jobs, Set<TeamId> teams) {
+        for (RunningJob job : jobs) {
+            if (teams.contains(job.team())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Frees cores alone, if nothing else is missing on some worker. */
     private static boolean throttleFor(PlanState state, WaitingJob job) {
         for (WorkerView worker : JobScheduler.candidates(state, job).toList()) {
@@ -167,19 +185,23 @@
     }
 
     private static Optional<Victims> victims(
-            PlanState state, WaitingJob job, WorkerView worker, boolean ownOnly) {
+            PlanState state, WaitingJob job, WorkerView worker, Set<TeamId> giving) {
         Resources room = state.comingFree(worker.worker());
-        int units = 0;
+        int ownUnits = 0;
         double loss = 0;
         List<RunningJob> chosen = new ArrayList<>();
         Resources taken = Resources.NONE;
         Map<TeamId, Resources> takenFrom = new HashMap<>();
-        List<RunningJob> candidates =
-                state.runningOn(worker.worker()).stream()
-                        .filter(victim -> isVictim(state, job, victim, ownOnly))
-                        .sorted(byLoss(job.spec().urgent()))
-                        .toList();
-        for (RunningJob victim : candidates) {
+        boolean urgent = job.spec().urgent();
+        List<RunningJob> byLoss =
+                state.runningOn(
+                        worker.worker(),
+                        urgent ? "loss to urgent" : "loss",
+                        urgent ? LOSS_TO_URGENT : LOSS);
+        for (RunningJob victim : byLoss) {
+            if (!isVictim(state, job, victim, giving)) {
+                continue;
+            }
             Resources fromTeam =
                     takenFrom.getOrDefault(victim.team(), Resources.NONE).plus(victim.use());
             if (!victim.team().equals(job.team()) && !state.isBorrowed(victim.team(), fromTeam)) {
@@ -188,9 +210,9 @@
             chosen.add(victim);
             takenFrom.put(victim.team(), fromTeam);
             taken = taken.plus(victim.use());
-            units += victim.spec().slots();
+            ownUnits += victim.team().equals(job.team()) ? victim.spec().slots() : 0;
             loss += loss(victim, job.spec().urgent());
-            boolean hasUnits = state.willHaveUnits(job) || (ownOnly && units >= job.spec().slots());
+            boolean hasUnits = state.willHaveUnits(job) || ownUnits >= job.spec().slots();
             if (hasUnits && job.need().fitsIn(room.plus(taken))) {
                 return Optional.of(new Victims(worker.worker(), chosen, loss));
             }
@@ -199,17 +221,11 @@
     }
 
     private static boolean isVictim(
-            PlanState state, WaitingJob job, RunningJob victim, boolean ownOnly) {
-        if (!state.isUntouched(victim) || victim.spec().urgent()) {
-            return false;
-        }
-        if (!job.spec().urgent() && victim.ranMillis() < MIN_RUN_MILLIS) {
-            return false;
-        }
-        if (victim.team().equals(job.team())) {
-            return job.spec().urgent();
-        }
-        return !ownOnly && state.isBorrowed(victim.team(), victim.use());
+            PlanState state, WaitingJob job, RunningJob victim, Set<TeamId> giving) {
+        return giving.contains(victim.team())
+                && !victim.spec().urgent()
+                && (job.spec().urgent() || victim.ranMillis() >= MIN_RUN_MILLIS)
+                && state.isUntouched(victim);
     }
 
     private static void liftThrottles(PlanState state) {
