--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -38,6 +39,7 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.object.InMemoryObjectStore;
+import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.TeamSpec;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.InMemoryTable;
@@ -90,9 +92,14 @@
         private final BlockingQueue<Map<WorkerId, Integer>> loads = new LinkedBlockingQueue<>();
         private final ConfigService config;
         private final SiblingMesh mesh;
+        private boolean running = true;
         private volatile Map<WorkerId, Integer> load = Map.of();
 
         private Instance(String name) {
+            this(name, true);
+        }
+
+        private Instance(String name, boolean listed) {
             config =
                     new ConfigService(
                             new InstanceId(name),
@@ -113,21 +120,25 @@
                             TimeSource.system());
             config.connect(mesh);
             mesh.start();
-            members.add(
-                    new Member(
-                            name,
-                            MemberRole.ENTRY,
-                            new ZoneId("z1"),
-                            "127.0.0.1:" + mesh.port(),
-                            MemberState.LIVE));
+            if (listed) {
+                members.add(
+                        new Member(
+                                name,
+                                MemberRole.ENTRY,
+                                new ZoneId("z1"),
+                                "127.0.0.1:" + mesh.port(),
+                                MemberState.LIVE));
+            }
             config.start();
             instances.add(this);
         }
 
-        private WriteResult write(int limit) throws Exception {
-            return config.write(
-                            ConfigWrite.of(
-                                    ResourceEdit.create("t" + limit, new TeamSpec(1, limit))))
+        private WriteResult write(int teams) throws Exception {
+            List<ResourceEdit> edits =
+                    IntStream.range(0, teams)
+                            .mapToObj(i -> ResourceEdit.create("t" + i, new TeamSpec(1, i)))
+                            .toList();
+            return config.write(new ConfigWrite(edits, Transaction.builder().build()))
                     .toCompletableFuture()
                     .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -137,8 +148,11 @@
         }
 
         private void stop() {
-            mesh.stop();
-            config.stop();
+            if (running) {
+                running = false;
+                mesh.stop();
+                config.stop();
+            }
         }
     }
 
@@ -168,7 +182,7 @@
     class Changes {
         @Test
         void areInForceWhenAllConfirmed() throws Exception {
-            WriteResult result = instances.get(0).write(3);
+            WriteResult result = instances.get(0).write(1);
             assertThat(result.inForce()).isTrue();
             assertThat(instances.get(1).revision()).isEqualTo(1);
         }
@@ -186,7 +200,7 @@
                                 "127.0.0.1:" + silent.getLocalPort(),
                                 MemberState.LIVE));
                 await(() -> instances.get(0).config.known().size() == 2);
-                WriteResult result = instances.get(0).write(3);
+                WriteResult result = instances.get(0).write(1);
                 assertThat(result.pending()).containsExactly(new InstanceId("e9"));
             }
         }
@@ -194,17 +208,37 @@
         @Test
         void doNotWaitForAnInstanceWhoseProcessEnded() throws Exception {
             instances.get(1).stop();
-            assertThat(instances.get(0).write(3).inForce()).isTrue();
+            assertThat(instances.get(0).write(1).inForce()).isTrue();
+        }
+
+        // The list still has the address of the former process, which refuses connections.
+        @Test
+        void reachAnInstanceThatRestartedAtAnotherAddress() throws Exception {
+            instances.get(1).stop();
+            Instance moved = new Instance("e2", false);
+            await(() -> instances.get(0).config.known().size() == 1);
+            assertThat(instances.get(0).write(1).inForce()).isTrue();
+            assertThat(moved.revision()).isEqualTo(1);
         }
 
         @Test
         void reachANewInstanceWhileTheTableIsDown() throws Exception {
-            instances.get(0).write(3);
+            instances.get(0).write(1);
             table.down = true;
             Instance third = new Instance("e3");
             await(third.config::isValid);
             assertThat(third.revision()).isEqualTo(1);
         }
+
+        // So many resources that their snapshot takes more than one frame.
+        @Test
+        void reachANewInstanceAsASnapshotIfThereAreMany() throws Exception {
+            instances.get(0).write(5_000);
+            table.down = true;
+            Instance third = new Instance("e3");
+            await(third.config::isValid);
+            assertThat(third.config.snapshot().all(Kind.TEAMS)).hasSize(5_000);
+        }
     }
 
     @Nested
