--- a/core/src/main/java/org/quetzalscale/core/config/ConfigReader.java
+++ b/core/src/main/java/org/quetzalscale/core/config/ConfigReader.java
@@ -138,7 +138,8 @@
                 ConfigSnapshot.of(revisionOf(revision), resources));
     }
 
-    static Revision revisionOf(Optional<Row> row) {
+    /** The revision that the row tells; {@link Revision#NONE} without a row. */
+    public static Revision revisionOf(Optional<Row> row) {
         return row.map(ConfigRows::decodeRevision).orElse(Revision.NONE);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/maintenance/FleetState.java
@@ -0,0 +1,28 @@
+package org.quetzalscale.core.maintenance;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.quetzalscale.core.config.ConfigSnapshot;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.WaveId;
+import org.quetzalscale.core.id.WorkerId;
+
+/**
+ * What plans are made from.
+ *
+ * @param live whether the platform lists a worker as live
+ * @param waves rows of the waves that have started
+ * @param bursting pools that have more work than they can start now
+ */
+public record FleetState(
+        ConfigSnapshot snapshot,
+        Predicate<WorkerId> live,
+        Map<WaveId, WaveRow> waves,
+        Set<PoolId> bursting) {
+    /** Copies the collections. */
+    public FleetState {
+        waves = Map.copyOf(waves);
+        bursting = Set.copyOf(bursting);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/maintenance/package-info.java
@@ -0,0 +1,2 @@
+/** Availability budgets, drains and maintenance waves. */
+package org.quetzalscale.core.maintenance;
