Plan and drive moves between pools

Cause: pools burst in turn and small pools have no worker to spare for maintenance, while the spare pool's workers idle.

The service competes for the lease placement as well.

Ruled out: moves at once on each lack, which follow every burst.

--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Moves of workers between pools. */
+package org.quetzalscale.core.placement;
--- a/daemon/src/main/java/org/quetzalscale/daemon/maintenance/MaintenanceService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/maintenance/MaintenanceService.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon.maintenance;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -11,9 +12,12 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.quetzalscale.core.config.ConfigReader;
+import org.quetzalscale.core.config.ConfigSnapshot;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.fleet.WorkerControl;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.WaveId;
 import org.quetzalscale.core.lease.LeaseKeeper;
 import org.quetzalscale.core.lease.LeaseRow;
@@ -21,9 +25,12 @@
 import org.quetzalscale.core.maintenance.BudgetRow;
 import org.quetzalscale.core.maintenance.FleetState;
 import org.quetzalscale.core.maintenance.FleetView;
+import org.quetzalscale.core.maintenance.WavePlanner;
 import org.quetzalscale.core.maintenance.WaveRow;
 import org.quetzalscale.core.maintenance.WaveRunner;
 import org.quetzalscale.core.maintenance.WaveStatus;
+import org.quetzalscale.core.placement.MoveRunner;
+import org.quetzalscale.core.placement.PoolNeeds;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.TransactionalTable;
@@ -34,8 +41,9 @@
 import org.tinylog.Logger;
 
 /**
- * Runs maintenance on this instance: it competes for the lease {@code waves} and, while it holds
- * it, drives all waves and declared drains of the fleet.
+ * Runs maintenance and moves on this instance: it competes for the leases {@code waves} and {@code
+ * placement}. The holder of the first drives all waves and declared drains of the fleet, the holder
+ * of the second all moves between pools.
  */
 public final class MaintenanceService {
     /** Time between ticks, in milliseconds. */
@@ -46,6 +54,10 @@
     private final LeaseKeeper waves;
     private final WaveRunner waveRunner;
     private final AtomicBoolean wavesBusy = new AtomicBoolean();
+    private final LeaseKeeper placement;
+    private final MoveRunner moveRunner;
+    private final AtomicBoolean movesBusy = new AtomicBoolean();
+    private final Supplier<Map<PoolId, Integer>> demand;
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(
                     task -> {
@@ -58,13 +70,16 @@
      * A service that is not started.
      *
      * @param fleet what this instance knows of the workers
+     * @param demand workers that the work of each pool, waiting work included, would keep busy now
      */
     public MaintenanceService(
             TransactionalTable table,
             ConfigService config,
             WorkerControl control,
             FleetView fleet,
+            Supplier<Map<PoolId, Integer>> demand,
             TimeSource time) {
+        this.demand = demand;
         AssignmentWriter assignments =
                 new AssignmentWriter(
                         table,
@@ -82,10 +97,21 @@
                         fleet,
                         time,
                         System::currentTimeMillis);
+        placement =
+                new LeaseKeeper(
+                        table, Json.codec(LeaseRow.class), "placement", config.self(), time);
+        moveRunner = new MoveRunner(assignments, fleet, this::needs, time);
     }
 
-    /** Starts to compete for the lease and to tick. */
+    /** Starts to compete for the leases and to tick. */
     public void start() {
+        executor.scheduleAtFixedRate(
+                placement::tick, 0, LeaseKeeper.RENEW_MILLIS, TimeUnit.MILLISECONDS);
+        executor.scheduleAtFixedRate(
+                () -> tick("placement", placement, this::tickMoves, movesBusy),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
         executor.scheduleAtFixedRate(
                 waves::tick, 0, LeaseKeeper.RENEW_MILLIS, TimeUnit.MILLISECONDS);
         executor.scheduleAtFixedRate(
@@ -95,16 +121,17 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Stops ticking and gives the lease back; the next holder continues from the rows. */
+    /** Stops ticking and gives the leases back; the next holders continue from the rows. */
     public void stop() {
         executor.shutdown();
         try {
             executor.awaitTermination(STOP_MILLIS, TimeUnit.MILLISECONDS);
+            placement.release().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
             waves.release().toCompletableFuture().get(STOP_MILLIS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            Logger.warn("lease of maintenance was not given back: {}", e.toString());
+            Logger.warn("leases of maintenance were not given back: {}", e.toString());
         }
     }
 
@@ -134,6 +161,20 @@
         return entries;
     }
 
+    /** Moves need to know which maintenance waits for them, whichever instance drives the waves. */
+    private PoolNeeds needs(ConfigSnapshot snapshot) {
+        Set<PoolId> blocked =
+                waveRunner
+                        .lastState()
+                        .map(state -> WavePlanner.plan(state).blocked())
+                        .orElse(Set.of());
+        return new PoolNeeds(demand.get(), blocked);
+    }
+
+    private CompletionStage<Void> tickMoves(Condition fence) {
+        return waveRunner.state().thenCompose(state -> moveRunner.tick(fence));
+    }
+
     private static void tick(
             String name,
             LeaseKeeper lease,
