--- a/core/src/main/java/org/quetzalscale/core/maintenance/WavePlan.java
+++ b/core/src/main/java/org/quetzalscale/core/maintenance/WavePlan.java
@@ -7,12 +7,12 @@
 /**
  * What waves and declarations drain next.
  *
- * @param blocked pools whose maintenance waits because their budget has nothing to spare
+ * @param due pools that need a worker above their floor for the maintenance that is next
  */
-public record WavePlan(List<PlannedDrain> drains, Set<PoolId> blocked) {
+public record WavePlan(List<PlannedDrain> drains, Set<PoolId> due) {
     /** Copies the collections. */
     public WavePlan {
         drains = List.copyOf(drains);
-        blocked = Set.copyOf(blocked);
+        due = Set.copyOf(due);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/maintenance/WavePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/maintenance/WavePlanner.java
@@ -40,7 +40,7 @@
     private final Map<PoolId, Map<RackId, Integer>> healthyByRack = new HashMap<>();
     private final List<Candidate> active = new ArrayList<>();
     private final List<PlannedDrain> drains = new ArrayList<>();
-    private final Set<PoolId> blocked = new TreeSet<>();
+    private final Set<PoolId> due = new TreeSet<>();
     private final Set<WorkerId> planned = new HashSet<>();
     private ZoneId zoneOut;
 
@@ -57,7 +57,7 @@
         WavePlanner planner = new WavePlanner(state);
         planner.planDeclared();
         state.snapshot().all(Kind.WAVES).forEach(planner::planWave);
-        return new WavePlan(planner.drains, planner.blocked);
+        return new WavePlan(planner.drains, planner.due);
     }
 
     /** Active workers that a wave has still to maintain. */
@@ -127,14 +127,18 @@
         if (spec.paused() || spec.aborted() || row.stoppedAt() == versioned.revision().value()) {
             return;
         }
+        ZoneId nextZone = null;
         for (Candidate candidate : active) {
-            boolean due = covers(spec, candidate.pool) && !row.contains(candidate.worker);
-            if (!due || planned.contains(candidate.worker)) {
+            boolean isDue = covers(spec, candidate.pool) && !row.contains(candidate.worker);
+            if (!isDue || planned.contains(candidate.worker)) {
                 continue;
             }
-            if (!hasSpare(candidate)) {
-                blocked.add(candidate.pool);
-            } else if (outByWave.getOrDefault(wave, 0) < spec.maxParallel()
+            nextZone = nextZone == null ? candidate.spec.zone() : nextZone;
+            if (candidate.spec.zone().equals(zoneOut == null ? nextZone : zoneOut)) {
+                due.add(candidate.pool);
+            }
+            if (hasSpare(candidate)
+                    && outByWave.getOrDefault(wave, 0) < spec.maxParallel()
                     && !state.bursting().contains(candidate.pool)
                     && permitsDomain(candidate)) {
                 add(candidate, DrainReason.wave(wave));
--- a/core/src/main/java/org/quetzalscale/core/placement/MovePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/placement/MovePlanner.java
@@ -125,7 +125,7 @@
             double cost =
                     lack > 0
                             ? weights.share() * workLack(pool)
-                                    + (needs.blocked().contains(pool) ? weights.rollOutTime() : 0)
+                                    + (needs.due().contains(pool) ? weights.rollOutTime() : 0)
                             : -weights.bufferCost() * surplus(pool);
             balance(pool).add(cost, seconds, limit);
         }
@@ -144,7 +144,7 @@
         }
 
         private int lack(PoolId pool) {
-            int forMaintenance = needs.blocked().contains(pool) ? floors.get(pool) + 1 : 0;
+            int forMaintenance = needs.due().contains(pool) ? floors.get(pool) + 1 : 0;
             return Math.max(workLack(pool), forMaintenance - expected(pool));
         }
 
@@ -152,7 +152,7 @@
             int wanted =
                     Math.max(
                             needs.workers().getOrDefault(pool, 0),
-                            floors.get(pool) + (needs.blocked().contains(pool) ? 1 : 0));
+                            floors.get(pool) + (needs.due().contains(pool) ? 1 : 0));
             return Math.max(0, healthy.get(pool) - wanted);
         }
 
--- a/core/src/main/java/org/quetzalscale/core/placement/PoolNeeds.java
+++ b/core/src/main/java/org/quetzalscale/core/placement/PoolNeeds.java
@@ -8,12 +8,12 @@
  * What pools need beyond their floors.
  *
  * @param workers workers that the work of a pool, waiting work included, would keep busy now
- * @param blocked pools whose maintenance waits because their budget has nothing to spare
+ * @param due pools that need a worker above their floor for maintenance
  */
-public record PoolNeeds(Map<PoolId, Integer> workers, Set<PoolId> blocked) {
+public record PoolNeeds(Map<PoolId, Integer> workers, Set<PoolId> due) {
     /** Copies the collections. */
     public PoolNeeds {
         workers = Map.copyOf(workers);
-        blocked = Set.copyOf(blocked);
+        due = Set.copyOf(due);
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/maintenance/MaintenanceService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/maintenance/MaintenanceService.java
@@ -163,12 +163,9 @@
 
     /** Moves need to know which maintenance waits for them, whichever instance drives the waves. */
     private PoolNeeds needs(ConfigSnapshot snapshot) {
-        Set<PoolId> blocked =
-                waveRunner
-                        .lastState()
-                        .map(state -> WavePlanner.plan(state).blocked())
-                        .orElse(Set.of());
-        return new PoolNeeds(demand.get(), blocked);
+        Set<PoolId> due =
+                waveRunner.lastState().map(state -> WavePlanner.plan(state).due()).orElse(Set.of());
+        return new PoolNeeds(demand.get(), due);
     }
 
     private CompletionStage<Void> tickMoves(Condition fence) {
