--- a/acceptance/src/test/java/org/quetzalscale/acceptance/process/RunningProcess.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/process/RunningProcess.java
@@ -21,6 +21,7 @@
     private final Process process;
     private final List<String> output = Collections.synchronizedList(new ArrayList<>());
     private final Map<String, CompletableFuture<Integer>> ports = new ConcurrentHashMap<>();
+    private final CompletableFuture<Void> outputEnd = new CompletableFuture<>();
 
     private RunningProcess(String name, Process process) {
         this.name = name;
@@ -99,6 +100,11 @@
         return process.pid();
     }
 
+    /** Waits until everything that an ended program printed has been read. */
+    void awaitOutputEnd() {
+        outputEnd.orTimeout(START_SECONDS, TimeUnit.SECONDS).join();
+    }
+
     String output() {
         return String.join("\n", new ArrayList<>(output));
     }
@@ -136,6 +142,8 @@
             }
         } catch (IOException e) {
             output.add("output ended: " + e);
+        } finally {
+            outputEnd.complete(null);
         }
     }
 }
--- /dev/null
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/support/package-info.java
@@ -0,0 +1,2 @@
+/** What the tests of whole deployments share: callers, declarations and waits. */
+package org.quetzalscale.acceptance.support;
--- a/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
@@ -13,11 +13,17 @@
             System.exit(startup.exitCode());
         }
         Daemon daemon = new Daemon(startup.settings());
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
         daemon.start();
         System.out.println("listening caller " + daemon.callerPort());
         System.out.println("listening operator " + daemon.operatorPort());
         System.out.flush();
         daemon.awaitStop();
     }
+
+    /** Without halt, the exit code after SIGTERM would be 143, as if the stop had failed. */
+    private static void stop(Daemon daemon) {
+        daemon.stop();
+        Runtime.getRuntime().halt(0);
+    }
 }
