--- a/acceptance/src/test/java/org/quetzalscale/acceptance/support/Caller.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/support/Caller.java
@@ -10,6 +10,8 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.quetzalscale.net.json.Json;
 
@@ -17,25 +19,33 @@
 public final class Caller {
     private static final Duration CALL_LIMIT = Duration.ofSeconds(30);
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final String key;
+    private final HttpClient client;
+    private final Map<String, String> headers;
 
-    private Caller(String key) {
-        this.key = key;
+    private Caller(HttpClient client, Map<String, String> headers) {
+        this.client = client;
+        this.headers = headers;
     }
 
     /** A caller with a key's secret. */
     public static Caller withKey(String secret) {
-        return new Caller(secret);
+        return withoutKey().withHeader("Authorization", "Bearer " + secret);
     }
 
     /** A caller that presents no key. */
     public static Caller withoutKey() {
-        return new Caller("");
+        return new Caller(
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build(), Map.of());
     }
 
-    /** Sends a request; an empty body is sent as none. */
+    /** The same caller with one more header on each request. */
+    public Caller withHeader(String name, String value) {
+        Map<String, String> more = new HashMap<>(headers);
+        more.put(name, value);
+        return new Caller(client, more);
+    }
+
+    /** Sends a request; the body may be empty. */
     public CompletableFuture<HttpResponse<String>> send(
             int port, String method, String path, String body) {
         return client.sendAsync(
@@ -81,6 +91,7 @@
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
                         .timeout(CALL_LIMIT);
-        return key.isEmpty() ? request : request.header("Authorization", "Bearer " + key);
+        headers.forEach(request::header);
+        return request;
     }
 }
