--- a/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
@@ -1,5 +1,6 @@
 package org.quetzalscale.daemon;
 
+import org.quetzalscale.daemon.logging.Logs;
 import org.quetzalscale.daemon.settings.Startup;
 
 /** Entry point of quetzalscaled. */
@@ -12,6 +13,7 @@
         if (startup.settings() == null) {
             System.exit(startup.exitCode());
         }
+        Logs.configure(startup.settings());
         Daemon daemon = new Daemon(startup.settings());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
         daemon.start();
