Stop the operator port before the links to other instances

Cause: in a graceful stop the links were closed first. Others then take this process for ended while it can still accept a write, and go on without its word.

Change: the operator port is stopped first.

Ruled out: waiting for running writes; the operator reads the outcome of a write whose connection closed, as with any lost answer.

Conclusion: a refused connection means that no write comes from this process.

--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -179,8 +179,10 @@
         units.stop();
         await("returning units", units.tick(), PLATFORM_TIMEOUT_MILLIS);
         jobs.stop();
-        siblings.stop();
         operators.stop();
+        // Last of those that write the configuration: a refused connection tells the others that
+        // this process has ended.
+        siblings.stop();
         config.stop();
         directory.stop();
         targets.stop();
