Report demand to siblings and wire maintenance into the daemon

Cause: instances divided a pool's slots without knowing each other's demand, and waves, drains and moves had no service that drives them.

Change: LoadReport carries an instance's requests by worker and its demand by pool. Daemon starts MaintenanceService on what FleetLoad and TaskCensus know. The mesh reads the platform's list from DirectoryWatch.

Ruled out: a second poll of the list by the mesh; counting tasks when no worker drains, because it scans all open jobs. The HTTP adapter has no operation to reboot a worker yet, so a wave waits there with the worker drained.

Conclusion: drains, moves and waves run in the daemon; reboots only on the embedded platform.

--- a/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
+++ b/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
@@ -160,6 +161,41 @@
         return all <= slots ? slots : (int) (((long) slots * demand + all - 1) / all);
     }
 
+    /**
+     * Requests in flight on the worker from this instance and the given siblings, or empty if one
+     * of them has sent no report lately.
+     */
+    public OptionalInt inFlight(WorkerId worker, Set<InstanceId> siblings) {
+        int count = inFlight().getOrDefault(worker, 0);
+        reportLock.lock();
+        try {
+            for (InstanceId sibling : siblings) {
+                SiblingReport report = reports.get(sibling);
+                if (report == null) {
+                    return OptionalInt.empty();
+                }
+                count += report.inFlight().getOrDefault(worker, 0);
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        return OptionalInt.of(count);
+    }
+
+    /** Requests of all siblings in flight and waiting by pool, as they reported. */
+    public Map<PoolId, Integer> siblingDemand() {
+        Map<PoolId, Integer> demand = new HashMap<>();
+        reportLock.lock();
+        try {
+            for (SiblingReport report : reports.values()) {
+                report.demand().forEach((pool, count) -> demand.merge(pool, count, Integer::sum));
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        return demand;
+    }
+
     /** Drops reports of siblings that have sent none for 2.5 s. */
     public void expireReports() {
         long nowMillis = time.nowMillis();
--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -21,8 +21,11 @@
 import org.quetzalscale.core.limit.BlockHolder;
 import org.quetzalscale.core.limit.GoneHolders;
 import org.quetzalscale.core.limit.LimitRow;
+import org.quetzalscale.core.maintenance.FleetView;
 import org.quetzalscale.core.queue.FairAdmission;
+import org.quetzalscale.core.resource.AssignmentSpec;
 import org.quetzalscale.core.resource.Kind;
+import org.quetzalscale.core.resource.WorkerPhase;
 import org.quetzalscale.core.resource.WorkerSpec;
 import org.quetzalscale.core.retry.IntentCollector;
 import org.quetzalscale.core.retry.IntentRow;
@@ -36,6 +39,8 @@
 import org.quetzalscale.daemon.config.ConfigService;
 import org.quetzalscale.daemon.job.JobRoutes;
 import org.quetzalscale.daemon.job.JobService;
+import org.quetzalscale.daemon.job.TaskCensus;
+import org.quetzalscale.daemon.maintenance.MaintenanceService;
 import org.quetzalscale.daemon.metrics.DaemonMetrics;
 import org.quetzalscale.daemon.metrics.MetricSources;
 import org.quetzalscale.daemon.operator.OperatorHooks;
@@ -55,6 +60,7 @@
 public final class Daemon {
     private static final RowCodec<IntentRow> INTENT_CODEC = Json.codec(IntentRow.class);
     private static final long COLLECT_MILLIS = 60_000;
+    private static final long CENSUS_MILLIS = 1_000;
     private static final long PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long DRAIN_MARGIN_MILLIS = 5_000;
 
@@ -78,6 +84,9 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final JobService jobs;
+    private final TaskCensus tasks;
+    private final FleetLoad load;
+    private final MaintenanceService maintenance;
     private final TableIntentLog intents;
     private final IntentCollector collector;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -106,10 +115,13 @@
                         this::unitsArrived,
                         executor);
         admission = new FairAdmission(config, units, workers, new RetryBudget(time), time);
+        jobs = new JobService(platform.table(), platform.tasks(), config, settings.instanceId());
+        tasks = new TaskCensus(jobs.store(), time);
+        load = new FleetLoad(config, admission, workers, tasks, config::known);
         siblings = siblings(workers, time);
         config.connect(siblings);
         metrics = metrics(workers);
-        jobs = new JobService(platform.table(), platform.tasks(), config, settings.instanceId());
+        maintenance = maintenance(time);
         targets =
                 new TargetClient(
                         time,
@@ -140,7 +152,9 @@
         every(FairAdmission.TICK_MILLIS, admission::tick);
         every(BlockHolder.TICK_MILLIS, units::tick);
         every(COLLECT_MILLIS, this::collectIntents);
+        every(CENSUS_MILLIS, this::countTasks);
         jobs.start();
+        maintenance.start();
         callers.start();
         operators.start();
         ready = true;
@@ -178,6 +192,7 @@
         callers.stop();
         units.stop();
         await("returning units", units.tick(), PLATFORM_TIMEOUT_MILLIS);
+        maintenance.stop();
         jobs.stop();
         operators.stop();
         // Last of those that write the configuration: a refused connection tells the others that
@@ -224,9 +239,41 @@
     }
 
     private SiblingMesh siblings(WorkerChooser workers, TimeSource time) {
-        SiblingHooks hooks = new SiblingHooks(workers::inFlight, workers::report, () -> {});
+        SiblingHooks hooks =
+                new SiblingHooks(
+                        load::own,
+                        (sibling, reported) ->
+                                workers.report(sibling, reported.inFlight(), reported.demand()),
+                        () -> {});
         return new SiblingMesh(
-                settings.siblingAddress(), "", loops, config, platform.directory(), hooks, time);
+                settings.siblingAddress(), "", loops, config, directory, hooks, time);
+    }
+
+    private MaintenanceService maintenance(TimeSource time) {
+        FleetView fleet = new FleetView(this::isLive, load::activity, load::burstingPools);
+        return new MaintenanceService(
+                platform.table(),
+                config,
+                platform.workerControl(),
+                fleet,
+                load::workersNeeded,
+                time);
+    }
+
+    /** The embedded platform lists no workers, so there each declared one counts as live. */
+    private boolean isLive(WorkerId worker) {
+        return settings.platformAddress().isEmpty()
+                || directory.workerState(worker).filter(MemberState.LIVE::equals).isPresent();
+    }
+
+    private void countTasks() {
+        boolean draining =
+                config.snapshot().all(Kind.ASSIGNMENTS).values().stream()
+                        .map(assignment -> ((AssignmentSpec) assignment.spec()).phase())
+                        .anyMatch(WorkerPhase.DRAINING::equals);
+        if (draining) {
+            tasks.refresh();
+        }
     }
 
     private DaemonMetrics metrics(WorkerChooser workers) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobService.java
@@ -88,6 +88,11 @@
                 Json.codec(WorkerFault.class));
     }
 
+    /** The rows of jobs. */
+    public JobStore store() {
+        return store;
+    }
+
     /** The answers to submitters, which any instance gives. */
     public JobHandlers handlers() {
         return new JobHandlers(
--- a/daemon/src/main/java/org/quetzalscale/daemon/platform/DirectoryWatch.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/platform/DirectoryWatch.java
@@ -3,12 +3,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.fleet.InstanceDirectory;
 import org.quetzalscale.core.fleet.Member;
 import org.quetzalscale.core.fleet.MemberRole;
@@ -20,14 +24,15 @@
  * Polls the platform's list of machines and keeps the latest answer. While the list can't be had,
  * the last answer stays in use.
  */
-public final class DirectoryWatch {
+public final class DirectoryWatch implements InstanceDirectory {
     /** Time between polls, in milliseconds. */
     public static final long POLL_MILLIS = 1_000;
 
     private final InstanceDirectory directory;
     private final ScheduledExecutorService executor;
     private final List<Consumer<List<Member>>> entryListeners = new CopyOnWriteArrayList<>();
-    private volatile List<Member> entries = List.of();
+    private volatile List<Member> entries;
+    private volatile List<Member> workers;
     private volatile Map<String, MemberState> workerStates = Map.of();
     private ScheduledFuture<?> polling;
 
@@ -57,9 +62,15 @@
         polling.cancel(false);
     }
 
-    /** The entry instances as last listed, those gone included. */
-    public List<Member> entries() {
-        return entries;
+    @Override
+    public CompletionStage<List<Member>> list(MemberRole role) {
+        List<Member> known = role == MemberRole.ENTRY ? entries : workers;
+        if (known == null) {
+            return CompletableFuture.failedFuture(
+                    new QuetzalscaleException(
+                            ErrorKind.STORE_UNAVAILABLE, "the list of machines was not read yet"));
+        }
+        return CompletableFuture.completedFuture(known);
     }
 
     /** The state of a worker as last listed; empty if it was never listed. */
@@ -82,14 +93,16 @@
                         })
                 .thenCompose(done -> directory.list(MemberRole.WORKER))
                 .thenAccept(
-                        members ->
-                                workerStates =
-                                        members.stream()
-                                                .collect(
-                                                        Collectors.toUnmodifiableMap(
-                                                                Member::name,
-                                                                Member::state,
-                                                                (first, second) -> second)))
+                        members -> {
+                            workers = members;
+                            workerStates =
+                                    members.stream()
+                                            .collect(
+                                                    Collectors.toUnmodifiableMap(
+                                                            Member::name,
+                                                            Member::state,
+                                                            (first, second) -> second));
+                        })
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/platform/Platform.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/platform/Platform.java
@@ -2,24 +2,35 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.fleet.ControlState;
 import org.quetzalscale.core.fleet.InMemoryTaskRunner;
+import org.quetzalscale.core.fleet.InMemoryWorkerControl;
 import org.quetzalscale.core.fleet.InstanceDirectory;
 import org.quetzalscale.core.fleet.Member;
 import org.quetzalscale.core.fleet.TaskRunner;
+import org.quetzalscale.core.fleet.WorkerControl;
+import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.object.InMemoryObjectStore;
 import org.quetzalscale.core.object.ObjectStore;
+import org.quetzalscale.core.resource.WaveAction;
 import org.quetzalscale.core.table.InMemoryTable;
 import org.quetzalscale.core.table.TransactionalTable;
 import org.quetzalscale.core.time.TimeSource;
 
 /** The four ports to the platform, with the registration of this instance. */
 public final class Platform {
+    private static final long EMBEDDED_REBOOT_MILLIS = 1_000;
+
     private final TransactionalTable table;
     private final ObjectStore objects;
     private final InstanceDirectory directory;
     private final TaskRunner tasks;
+    private final WorkerControl workerControl;
     private final Registration registration;
     private final Runnable close;
 
@@ -28,12 +39,14 @@
             ObjectStore objects,
             InstanceDirectory directory,
             TaskRunner tasks,
+            WorkerControl workerControl,
             Registration registration,
             Runnable close) {
         this.table = table;
         this.objects = objects;
         this.directory = directory;
         this.tasks = tasks;
+        this.workerControl = workerControl;
         this.registration = registration;
         this.close = close;
     }
@@ -55,6 +68,7 @@
                 new HttpObjectStore(client),
                 directory,
                 new HttpTaskRunner(client),
+                Platform::refuseControl,
                 new Registration(
                         group,
                         () -> directory.register(self.get()),
@@ -81,6 +95,7 @@
                 new InMemoryObjectStore(),
                 directory,
                 new InMemoryTaskRunner(time, 0),
+                new InMemoryWorkerControl(time, EMBEDDED_REBOOT_MILLIS, worker -> false),
                 new Registration(group, directory::register, directory::leave),
                 () -> {});
     }
@@ -100,6 +115,22 @@
         return directory;
     }
 
+    /**
+     * Reboots and replacements of workers. The adapter over HTTP has none yet: its calls fail with
+     * STORE_UNAVAILABLE, so a wave waits with its workers drained.
+     */
+    public WorkerControl workerControl() {
+        return workerControl;
+    }
+
+    private static CompletionStage<ControlState> refuseControl(
+            String operation, WorkerId worker, WaveAction action) {
+        return CompletableFuture.failedFuture(
+                new QuetzalscaleException(
+                        ErrorKind.STORE_UNAVAILABLE,
+                        "the platform offers no operation to reboot worker " + worker));
+    }
+
     /** The tasks on workers. */
     public TaskRunner tasks() {
         return tasks;
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/FrameType.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/FrameType.java
@@ -10,7 +10,7 @@
     CONFIRM(6, 1),
     SNAPSHOT_REQUEST(7, 1),
     SNAPSHOT(8, 3),
-    LOAD_REPORT(9, 1),
+    LOAD_REPORT(9, 2),
     JOB_WAKE(10, 0);
 
     /** Version of the protocol, the first field of a hello. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/IncomingConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/IncomingConnection.java
@@ -59,7 +59,7 @@
         } else if (frame instanceof SiblingFrame.SnapshotRequest request) {
             sendAfter(request.after());
         } else if (frame instanceof SiblingFrame.LoadReport report) {
-            hooks.loads().report(other.id(), report.inFlight());
+            hooks.loads().report(other.id(), report.load());
         } else if (frame instanceof SiblingFrame.JobWake) {
             hooks.jobWake().run();
         } else {
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/LoadListener.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/LoadListener.java
@@ -1,8 +1,7 @@
 package org.quetzalscale.daemon.sibling;
 
-import java.util.Map;
 import org.quetzalscale.core.id.InstanceId;
-import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.route.InstanceLoad;
 
 /** Takes what other instances have running. Called on event loops; must not block. */
 @FunctionalInterface
@@ -10,8 +9,7 @@
     /**
      * Takes a report, which replaces the instance's former one.
      *
-     * @param inFlight requests that the instance has running on each worker; a worker that is not
-     *     in it has none
+     * @param load what the instance has running and waiting
      */
-    void report(InstanceId sibling, Map<WorkerId, Integer> inFlight);
+    void report(InstanceId sibling, InstanceLoad load);
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrame.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrame.java
@@ -5,7 +5,7 @@
 import org.quetzalscale.core.config.Statement;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.Revision;
-import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.route.InstanceLoad;
 
 /** What instances send to each other. The instance that opened the connection asks. */
 sealed interface SiblingFrame {
@@ -33,8 +33,8 @@
     /** A part of a snapshot, numbered from 0. */
     record SnapshotPart(int part, int parts, byte[] content) implements SiblingFrame {}
 
-    /** Requests that the sender has running on each worker. */
-    record LoadReport(Map<WorkerId, Integer> inFlight) implements SiblingFrame {}
+    /** What the sender has running and waiting. */
+    record LoadReport(InstanceLoad load) implements SiblingFrame {}
 
     /** A job was submitted. */
     record JobWake() implements SiblingFrame {}
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameDecoder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameDecoder.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Function;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -10,15 +11,17 @@
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.Revision;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.route.InstanceLoad;
 import org.quetzalscale.daemon.config.ChangeJson;
 
 /** Reads frames. */
 final class SiblingFrameDecoder {
     private static final ChangeJson CHANGES = new ChangeJson();
     private static final int MAX_INSTANCES = 1_000;
-    private static final int MAX_WORKERS = 20_000;
+    private static final int MAX_COUNTS = 20_000;
     private static final int MAX_SNAPSHOT_PARTS = 128;
 
     private SiblingFrameDecoder() {}
@@ -100,17 +103,24 @@
     }
 
     private static SiblingFrame loadReport(MessageUnpacker unpacker) throws IOException {
-        int size = mapSize(unpacker, MAX_WORKERS);
-        Map<WorkerId, Integer> inFlight = new HashMap<>();
+        Map<WorkerId, Integer> inFlight = counts(unpacker, WorkerId::new);
+        return new SiblingFrame.LoadReport(
+                new InstanceLoad(inFlight, counts(unpacker, PoolId::new)));
+    }
+
+    private static <T> Map<T, Integer> counts(MessageUnpacker unpacker, Function<String, T> name)
+            throws IOException {
+        int size = mapSize(unpacker, MAX_COUNTS);
+        Map<T, Integer> counts = new HashMap<>();
         for (int i = 0; i < size; i++) {
-            WorkerId worker = new WorkerId(unpacker.unpackString());
+            T key = name.apply(unpacker.unpackString());
             int count = unpacker.unpackInt();
             if (count < 0) {
-                throw malformed(count + " requests on " + worker, null);
+                throw malformed(count + " requests of " + key, null);
             }
-            inFlight.put(worker, count);
+            counts.put(key, count);
         }
-        return new SiblingFrame.LoadReport(inFlight);
+        return counts;
     }
 
     private static int mapSize(MessageUnpacker unpacker, int max) throws IOException {
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameEncoder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameEncoder.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.function.Function;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.quetzalscale.core.config.Statement;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.daemon.config.ChangeJson;
 
@@ -54,15 +56,23 @@
                     .packBinaryHeader(part.content().length)
                     .writePayload(part.content());
         } else if (frame instanceof SiblingFrame.LoadReport report) {
-            start(FrameType.LOAD_REPORT, packer).packMapHeader(report.inFlight().size());
-            for (Map.Entry<WorkerId, Integer> entry : report.inFlight().entrySet()) {
-                packer.packString(entry.getKey().value()).packInt(entry.getValue());
-            }
+            start(FrameType.LOAD_REPORT, packer);
+            packCounts(report.load().inFlight(), WorkerId::value, packer);
+            packCounts(report.load().demand(), PoolId::value, packer);
         } else {
             start(FrameType.JOB_WAKE, packer);
         }
     }
 
+    private static <T> void packCounts(
+            Map<T, Integer> counts, Function<T, String> name, MessageBufferPacker packer)
+            throws IOException {
+        packer.packMapHeader(counts.size());
+        for (Map.Entry<T, Integer> entry : counts.entrySet()) {
+            packer.packString(name.apply(entry.getKey())).packInt(entry.getValue());
+        }
+    }
+
     private static MessageBufferPacker start(FrameType type, MessageBufferPacker packer)
             throws IOException {
         packer.packArrayHeader(1 + type.fields()).packInt(type.number());
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
@@ -34,7 +34,7 @@
 import org.quetzalscale.core.fleet.MemberState;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.Revision;
-import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.route.InstanceLoad;
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.config.ConfigService;
 import org.quetzalscale.daemon.config.SiblingLinks;
@@ -72,7 +72,7 @@
     private volatile boolean stopped;
     private List<ScheduledFuture<?>> tasks = List.of();
     private Channel listener;
-    private Map<WorkerId, Integer> sentLoad = Map.of();
+    private InstanceLoad sentLoad = InstanceLoad.NONE;
     private long sentLoadMillis;
 
     /**
@@ -229,7 +229,7 @@
     }
 
     private void reportLoad() {
-        Map<WorkerId, Integer> load = Map.copyOf(hooks.ownLoad().get());
+        InstanceLoad load = hooks.ownLoad().get();
         long nowMillis = time.nowMillis();
         if (load.equals(sentLoad) && nowMillis - sentLoadMillis < MAX_LOAD_AGE_MILLIS) {
             return;
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingFrameTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingFrameTest.java
@@ -18,10 +18,12 @@
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.Revision;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.TeamSpec;
+import org.quetzalscale.core.route.InstanceLoad;
 
 class SiblingFrameTest {
     static Stream<SiblingFrame> frames() {
@@ -43,7 +45,9 @@
                 new SiblingFrame.ChangeFrame(new ChangeRecord(delete, "e1/y")),
                 new SiblingFrame.Confirm(new Revision(1)),
                 new SiblingFrame.SnapshotRequest(Revision.NONE),
-                new SiblingFrame.LoadReport(Map.of(new WorkerId("w1"), 8)),
+                new SiblingFrame.LoadReport(
+                        new InstanceLoad(
+                                Map.of(new WorkerId("w1"), 8), Map.of(new PoolId("p1"), 9))),
                 new SiblingFrame.JobWake());
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingMeshTest.java
@@ -36,11 +36,13 @@
 import org.quetzalscale.core.fleet.MemberRole;
 import org.quetzalscale.core.fleet.MemberState;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.object.InMemoryObjectStore;
 import org.quetzalscale.core.resource.Kind;
 import org.quetzalscale.core.resource.TeamSpec;
+import org.quetzalscale.core.route.InstanceLoad;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.InMemoryTable;
 import org.quetzalscale.core.table.Row;
@@ -89,11 +91,11 @@
     }
 
     private final class Instance {
-        private final BlockingQueue<Map<WorkerId, Integer>> loads = new LinkedBlockingQueue<>();
+        private final BlockingQueue<InstanceLoad> loads = new LinkedBlockingQueue<>();
         private final ConfigService config;
         private final SiblingMesh mesh;
         private boolean running = true;
-        private volatile Map<WorkerId, Integer> load = Map.of();
+        private volatile InstanceLoad load = InstanceLoad.NONE;
 
         private Instance(String name) {
             this(name, true);
@@ -245,7 +247,8 @@
     class Loads {
         @Test
         void areReportedWhenTheyChange() {
-            Map<WorkerId, Integer> load = Map.of(new WorkerId("w1"), 5);
+            InstanceLoad load =
+                    new InstanceLoad(Map.of(new WorkerId("w1"), 5), Map.of(new PoolId("p1"), 6));
             instances.get(0).load = load;
             await(() -> instances.get(1).loads.contains(load));
         }
