Compare wave and move strategies under virtual time

Cause: the planners' rules had no figures behind them.

Ruled out: a lack that counts at once.

Conclusion: short bursts move nothing; long ones are followed.

--- a/core/src/main/java/org/quetzalscale/core/placement/MovePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/placement/MovePlanner.java
@@ -112,7 +112,7 @@
         private List<Move> plan(double seconds) {
             healthy.keySet().forEach(pool -> weigh(pool, seconds));
             healthy.keySet().stream()
-                    .filter(pool -> !isSpare(pool) && balance(pool).isLacking(limit))
+                    .filter(pool -> balance(pool).isLacking(limit))
                     .filter(pool -> lack(pool) > 0)
                     .sorted(Comparator.comparing(this::lack).reversed())
                     .forEach(this::borrow);
--- a/core/src/main/java/org/quetzalscale/core/placement/PoolBalance.java
+++ b/core/src/main/java/org/quetzalscale/core/placement/PoolBalance.java
@@ -7,7 +7,14 @@
  * has; so a burst that ends soon moves nothing, and moves cost at most about as much as they save.
  */
 final class PoolBalance {
+    /**
+     * Time that a lack must last before it counts, in seconds. A drain takes 5 s to be in force and
+     * some more for the last requests; a lack that ends before is over when a worker arrives.
+     */
+    private static final double MIN_LACK_SECONDS = 20;
+
     private double cost;
+    private double lackSeconds;
 
     /**
      * Adds the cost of some time.
@@ -16,6 +23,10 @@
      * @param limit cost of one move, beyond which nothing adds up
      */
     void add(double weighted, double seconds, double limit) {
+        lackSeconds = weighted > 0 ? lackSeconds + seconds : 0;
+        if (weighted > 0 && lackSeconds < MIN_LACK_SECONDS) {
+            return;
+        }
         cost = Math.max(-limit, Math.min(limit, cost + weighted * seconds));
     }
 
--- a/standin/src/main/java/org/quetzalscale/standin/experiment/maintenance/MaintenanceExperiment.java
+++ b/standin/src/main/java/org/quetzalscale/standin/experiment/maintenance/MaintenanceExperiment.java
@@ -69,7 +69,7 @@
             String name,
             Supplier<MoveStrategy> strategy) {
         FleetModel model =
-                new FleetModel(shape, burstSeconds, Strategies.noWave(), strategy.get(), SEED);
+                new FleetModel(shape, burstSeconds, Strategies.NO_WAVE, strategy.get(), SEED);
         out.println(model.run(MOVES_SECONDS).line(name));
     }
 }
