--- a/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/QuetzalscaleDaemon.java
@@ -1,5 +1,6 @@
 package org.quetzalscale.daemon;
 
+import org.quetzalscale.daemon.logging.Logs;
 import org.quetzalscale.daemon.settings.Startup;
 
 /** Entry point of quetzalscaled. */
@@ -12,12 +13,19 @@
         if (startup.settings() == null) {
             System.exit(startup.exitCode());
         }
+        Logs.configure(startup.settings());
         Daemon daemon = new Daemon(startup.settings());
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
         daemon.start();
         System.out.println("listening caller " + daemon.callerPort());
         System.out.println("listening operator " + daemon.operatorPort());
         System.out.flush();
         daemon.awaitStop();
     }
+
+    /** Without halt, the exit code after SIGTERM would be 143, as if the stop had failed. */
+    private static void stop(Daemon daemon) {
+        daemon.stop();
+        Runtime.getRuntime().halt(0);
+    }
 }
