Return the unit of a request that was not sent

Cause: a request that ended while its connection was being opened held its team's unit until the deadline, because its outcome said only that the caller left.

Change: the outcome NOT_SENT returns the unit at once; the caller path uses it until the first byte may have left.

Ruled out: UNREACHABLE, which would count against the worker.

Conclusion: no unit is stranded without a request at a target.

--- a/core/src/main/java/org/quetzalscale/core/queue/AttemptOutcome.java
+++ b/core/src/main/java/org/quetzalscale/core/queue/AttemptOutcome.java
@@ -13,5 +13,7 @@
     /** The connection broke or stayed silent after bytes may have left. */
     BROKEN,
     /** The caller went away; says nothing about the worker. */
-    ABANDONED
+    ABANDONED,
+    /** No byte was sent, for a reason that says nothing about the worker. */
+    NOT_SENT
 }
--- a/core/src/main/java/org/quetzalscale/core/route/WorkerLoad.java
+++ b/core/src/main/java/org/quetzalscale/core/route/WorkerLoad.java
@@ -65,7 +65,7 @@
             }
             case FAILED, BROKEN, UNREACHABLE -> fail(nowMillis);
             case REFUSED -> fullUntilMillis = nowMillis + REFUSED_MILLIS;
-            case ABANDONED -> {
+            case ABANDONED, NOT_SENT -> {
                 // The caller's departure says nothing about the worker.
             }
             default -> throw new IllegalStateException("outcome " + outcome);
--- a/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/queue/FairAdmissionTest.java
@@ -225,6 +225,15 @@
             assertThat(units.free("a")).isEqualTo(1);
         }
 
+        /** Guards against a unit that is held for a request that never left. */
+        @Test
+        void returnsTheUnitOfARequestThatWasNotSentAtOnce() {
+            config.worker("w1", 8);
+            units.grant("a", 1);
+            admit("labs", "a").join().finish(AttemptOutcome.NOT_SENT);
+            assertThat(units.free("a")).isEqualTo(1);
+        }
+
         @Test
         void takesAFurtherUnitForTheRetry() {
             config.worker("w1", 8).worker("w2", 8);
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/Exchange.java
@@ -221,7 +221,7 @@
     private void admitted(Assignment granted, Throwable failure) {
         if (phase != Phase.ADMISSION) {
             if (granted != null) {
-                granted.finish(AttemptOutcome.ABANDONED);
+                granted.finish(AttemptOutcome.NOT_SENT);
             }
             return;
         }
@@ -447,7 +447,8 @@
 
     private void finishAssignment(AttemptOutcome outcome) {
         if (assignment != null) {
-            assignment.finish(outcome);
+            boolean unsent = phase == Phase.CONNECTING && outcome == AttemptOutcome.ABANDONED;
+            assignment.finish(unsent ? AttemptOutcome.NOT_SENT : outcome);
             assignment = null;
         }
     }
