--- a/core/src/main/java/org/quetzalscale/core/maintenance/WavePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/maintenance/WavePlanner.java
@@ -60,7 +60,7 @@
         return new WavePlan(planner.drains, planner.due);
     }
 
-    /** Active workers that a wave has still to maintain. */
+    /** Workers that a wave has still to maintain; those that failed elsewhere are not counted. */
     public static List<WorkerId> remaining(FleetState state, WaveId wave, WaveSpec spec) {
         List<WorkerId> left = new ArrayList<>();
         WaveRow row = state.waves().getOrDefault(wave, WaveRow.started(0));
@@ -70,7 +70,9 @@
                         (name, versioned) -> {
                             AssignmentSpec assignment = (AssignmentSpec) versioned.spec();
                             WorkerId worker = new WorkerId(name);
-                            if (covers(spec, assignment.pool()) && !row.contains(worker)) {
+                            if (covers(spec, assignment.pool())
+                                    && assignment.phase() != WorkerPhase.FAILED
+                                    && !row.contains(worker)) {
                                 left.add(worker);
                             }
                         });
