--- a/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
+++ b/core/src/main/java/org/quetzalscale/core/route/WorkerChooser.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
@@ -26,8 +27,11 @@
  * they start. Safe for several threads; the state of the workers is split into shards.
  */
 public final class WorkerChooser {
-    /** Time for which a report of a sibling counts, in milliseconds; reports come each 100 ms. */
-    public static final long REPORT_VALID_MILLIS = 1_000;
+    /**
+     * Time for which a report of a sibling counts, in milliseconds. A changed load is reported each
+     * 100 ms, an unchanged one each second, so this is well above a second.
+     */
+    public static final long REPORT_VALID_MILLIS = 2_500;
 
     /** Time for which a shutdown that a target announced counts, in milliseconds. */
     public static final long SHUTDOWN_VALID_MILLIS = 30_000;
@@ -113,19 +117,86 @@
                 });
     }
 
-    /** Takes over what a sibling reported: its requests in flight by worker. */
+    /** Takes over a sibling's requests in flight by worker, without its demands. */
     public void report(InstanceId sibling, Map<WorkerId, Integer> inFlight) {
+        report(sibling, inFlight, Map.of());
+    }
+
+    /**
+     * Takes over what a sibling reported.
+     *
+     * @param inFlight its requests in flight by worker
+     * @param demand its requests in flight and waiting by pool
+     */
+    public void report(
+            InstanceId sibling, Map<WorkerId, Integer> inFlight, Map<PoolId, Integer> demand) {
         reportLock.lock();
         try {
             drop(sibling);
-            reports.put(sibling, new SiblingReport(time.nowMillis(), inFlight));
+            reports.put(sibling, new SiblingReport(time.nowMillis(), inFlight, demand));
             inFlight.forEach((worker, count) -> addSiblings(worker, count));
         } finally {
             reportLock.unlock();
         }
     }
 
-    /** Drops reports of siblings that have sent none for a second. */
+    /**
+     * The part of the pool's slots that this instance should use, in proportion to its demand; all
+     * slots if they suffice for the demands of all instances. Without it, instances that hold slots
+     * take each slot that becomes free again, and those without never get one.
+     *
+     * @param demand requests of this instance that run or wait
+     */
+    public int part(PoolId pool, int demand) {
+        int all = demand;
+        reportLock.lock();
+        try {
+            for (SiblingReport report : reports.values()) {
+                all += report.demand().getOrDefault(pool, 0);
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        int slots = slots(pool);
+        return all <= slots ? slots : (int) (((long) slots * demand + all - 1) / all);
+    }
+
+    /**
+     * Requests in flight on the worker from this instance and the given siblings, or empty if one
+     * of them has sent no report lately.
+     */
+    public OptionalInt inFlight(WorkerId worker, Set<InstanceId> siblings) {
+        int count = inFlight().getOrDefault(worker, 0);
+        reportLock.lock();
+        try {
+            for (InstanceId sibling : siblings) {
+                SiblingReport report = reports.get(sibling);
+                if (report == null) {
+                    return OptionalInt.empty();
+                }
+                count += report.inFlight().getOrDefault(worker, 0);
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        return OptionalInt.of(count);
+    }
+
+    /** Requests of all siblings in flight and waiting by pool, as they reported. */
+    public Map<PoolId, Integer> siblingDemand() {
+        Map<PoolId, Integer> demand = new HashMap<>();
+        reportLock.lock();
+        try {
+            for (SiblingReport report : reports.values()) {
+                report.demand().forEach((pool, count) -> demand.merge(pool, count, Integer::sum));
+            }
+        } finally {
+            reportLock.unlock();
+        }
+        return demand;
+    }
+
+    /** Drops reports of siblings that have sent none for 2.5 s. */
     public void expireReports() {
         long nowMillis = time.nowMillis();
         reportLock.lock();
