--- a/acceptance/src/test/java/org/quetzalscale/acceptance/scenario/RequestSteps.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/scenario/RequestSteps.java
@@ -108,6 +108,25 @@
         }
     }
 
+    /** Sends requests whose answers the target generates, so that no part comes before its end. */
+    @When("{int} requests of {int} ms are sent for generated answers")
+    public void sendForGeneratedAnswers(int count, int millis) {
+        for (int i = 0; i < count; i++) {
+            String path = "/request-" + sent.size();
+            String query = "?ms=" + millis + "&size=" + SentRequest.GENERATED_CHARS;
+            int port = deployment.callerPort(1 + sent.size() % deployment.instances());
+            sent.add(
+                    new SentRequest(
+                            path, "", caller.send(port, "POST", QUEUE + path + query, "sample")));
+        }
+    }
+
+    /** Ends a target with what runs on it. */
+    @When("target {int} is killed")
+    public void killTarget(int target) {
+        deployment.target(target).stop();
+    }
+
     /** Waits until requests run at targets. */
     @When("{int} requests run")
     public void awaitRunning(int count) {
--- a/acceptance/src/test/java/org/quetzalscale/acceptance/scenario/SentRequest.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/scenario/SentRequest.java
@@ -9,10 +9,13 @@
  * A request that was sent and its answer.
  *
  * @param path path that the target logs, unique to the request
- * @param body what the target sends back
+ * @param body what the target sends back, or empty if it generates the answer
  * @param answer fails if the answer was cut
  */
 record SentRequest(String path, String body, CompletableFuture<HttpResponse<String>> answer) {
+    /** Size of an answer that the target generates from the request id. */
+    static final int GENERATED_CHARS = 5_000;
+
     private static final String RUN_HEADER = "Quetzalscale-Run";
 
     /** The answer once it is there, or empty if it was cut. */
@@ -30,7 +33,7 @@
                 .map(
                         got ->
                                 got.statusCode() == 200
-                                        ? got.body().equals(body)
+                                        ? isWhole(got)
                                         : !Caller.errorCode(got).isEmpty())
                 .orElse(true);
     }
@@ -41,4 +44,13 @@
                 .filter("not-run"::equals)
                 .isPresent();
     }
+
+    private boolean isWhole(HttpResponse<String> got) {
+        if (!body.isEmpty()) {
+            return got.body().equals(body);
+        }
+        String id = got.headers().firstValue("X-Request-Id").orElse("none");
+        return got.body().length() == GENERATED_CHARS
+                && got.body().lines().limit(10).allMatch(id::equals);
+    }
 }
--- a/acceptance/src/test/resources/org/quetzalscale/acceptance/scenario/requests.feature
+++ b/acceptance/src/test/resources/org/quetzalscale/acceptance/scenario/requests.feature
@@ -55,3 +55,13 @@
     Then every answer is the caller's own and whole
     And what is told as not run did not run
     And every request ran at most once
+
+  Scenario: 5, 6, 7. A target dies while requests run on it
+    When 12 requests of 300 ms are sent
+    And all answers are there
+    And 4 requests of 800 ms are sent for generated answers
+    And 4 requests run
+    And target 1 is killed
+    Then every answer is the caller's own and whole
+    And what is told as not run did not run
+    And every request ran at most once
