Read limits and faults only while jobs are open

Cause: the holder of the jobs' lease scanned jobs, limits and worker faults five times a second also without any job.

Change: without open jobs a tick reads only the open jobs, after one whole tick that withdraws their demand. CapacityBench prints the largest of the daemons beside the mean.

Ruled out: ticking less often, which would delay urgent work.

Conclusion: what an idle holder reads no longer grows with teams.

--- a/acceptance/src/test/java/org/quetzalscale/acceptance/process/CapacityBench.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/process/CapacityBench.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.ToLongFunction;
 import org.quetzalscale.net.json.Json;
 
 /**
@@ -54,7 +55,7 @@
      */
     public static void main(String[] args) {
         System.out.println(
-                "daemons workers pools teams | idle: cpu % of a core, KB/s, RSS MiB |"
+                "daemons workers pools teams | idle, mean (largest): cpu % of a core, KB/s, RSS MiB |"
                         + " table reads/s, commits/s | change: cpu ms, bytes, ms p50, ms max");
         for (int i = 0; i + 3 < args.length; i += 4) {
             int[] row = Arrays.stream(args, i, i + 4).mapToInt(Integer::parseInt).toArray();
@@ -100,13 +101,15 @@
         double idleCpuPerSecond = mean(start, end, Usage::cpuMillis) / IDLE_SECONDS;
         double idleBytesPerSecond = mean(start, end, Usage::bytes) / IDLE_SECONDS;
         System.out.printf(
-                "%d %d %d %d | %.2f, %.2f, %.0f | %.1f, %.1f | %.2f, %.0f, %d, %d%n",
+                "%d %d %d %d | %.2f (%.2f), %.2f (%.2f), %.0f | %.1f, %.1f | %.2f, %.0f, %d, %d%n",
                 daemonCount,
                 workers,
                 pools,
                 teams,
                 idleCpuPerSecond / 10,
+                largest(start, end, Usage::cpuMillis) / IDLE_SECONDS / 10,
                 idleBytesPerSecond / 1024,
+                largest(start, end, Usage::bytes) / IDLE_SECONDS / 1024,
                 end.stream().mapToLong(Usage::residentBytes).average().orElse(0) / MIB,
                 rate(before, after, "tableReads"),
                 rate(before, after, "tableCommits"),
@@ -198,8 +201,7 @@
         return (double) (after.get(field).asLong() - before.get(field).asLong()) / IDLE_SECONDS;
     }
 
-    private static double mean(
-            List<Usage> start, List<Usage> end, java.util.function.ToLongFunction<Usage> value) {
+    private static double mean(List<Usage> start, List<Usage> end, ToLongFunction<Usage> value) {
         double sum = 0;
         for (int i = 0; i < start.size(); i++) {
             sum += value.applyAsLong(end.get(i)) - value.applyAsLong(start.get(i));
@@ -207,6 +209,15 @@
         return sum / start.size();
     }
 
+    private static double largest(List<Usage> start, List<Usage> end, ToLongFunction<Usage> value) {
+        double largest = 0;
+        for (int i = 0; i < start.size(); i++) {
+            double used = value.applyAsLong(end.get(i)) - value.applyAsLong(start.get(i));
+            largest = Math.max(largest, used);
+        }
+        return largest;
+    }
+
     private static long procValue(RunningProcess process, String file, String field) {
         try {
             return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), file)).stream()
--- a/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
@@ -55,6 +55,8 @@
     private final Map<TaskId, Long> grantedAtMillis = new HashMap<>();
     private Set<WorkerId> knownFaults = Set.of();
     private Lease lastLease;
+    // False after a whole tick without open jobs, which also withdrew their demand.
+    private boolean hadOpenJobs;
     private long epochCheckedAtMillis;
     private long demandAtMillis;
     private volatile Map<TeamId, Double> distances = Map.of();
@@ -116,7 +118,21 @@
         boolean adopting = !lease.get().equals(lastLease);
         lastLease = lease.get();
         return store.open()
-                .thenCombine(store.limits(), (jobs, limits) -> new Tick(lastLease, jobs, limits))
+                .thenCompose(
+                        jobs -> {
+                            if (jobs.isEmpty() && !hadOpenJobs && !adopting) {
+                                // Limits and faults decide nothing without a job, and reading
+                                // them five times a second was most of an idle holder's traffic.
+                                return CompletableFuture.completedFuture(null);
+                            }
+                            hadOpenJobs = true;
+                            return decide(jobs, adopting);
+                        });
+    }
+
+    private CompletionStage<Void> decide(List<StoredJob> open, boolean adopting) {
+        return store.limits()
+                .thenApply(limits -> new Tick(lastLease, open, limits))
                 .thenCombine(store.workerFaults(), Tick::withFaults)
                 .thenCompose(
                         tick -> {
