Open all listening sockets in one place

Cause: four servers repeated the same bootstrap of 15 lines. Change: net.TcpListeners opens them; the sibling port and the small HTTP servers get the caller port's backlog. Ruled out: sharing the handlers too, which differ in flow control. Conclusion: one place holds the socket options.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
@@ -1,15 +1,11 @@
 package org.quetzalscale.daemon.caller;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
@@ -22,13 +18,13 @@
 import org.quetzalscale.core.retry.IntentLog;
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.target.TargetClient;
+import org.quetzalscale.net.TcpListeners;
 
 /** The HTTP/1.1 server for callers. */
 public final class CallerServer {
     // With the read buffer this bounds what a slow reader makes the process hold.
     private static final WriteBufferWaterMark WRITE_BUFFER_BYTES =
             new WriteBufferWaterMark(16 << 10, 32 << 10);
-    private static final int BACKLOG = 1024;
     private static final int DRAIN_POLL_MILLIS = 20;
 
     private final InetSocketAddress bindAddress;
@@ -107,30 +103,12 @@
 
     /** Listens. */
     public void start() {
-        listener =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.AUTO_READ, false)
-                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_BYTES)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        initialize(channel);
-                                    }
-                                })
-                        .bind(bindAddress)
-                        .syncUninterruptibly()
-                        .channel();
+        listener = TcpListeners.listen(group, bindAddress, false, this::initialize);
     }
 
     /** The port that it listens on. */
     public int port() {
-        return ((InetSocketAddress) listener.localAddress()).getPort();
+        return TcpListeners.port(listener);
     }
 
     /** Requests that run now, including those whose outcome is being recorded. */
@@ -183,6 +161,7 @@
     }
 
     private void initialize(SocketChannel channel) {
+        channel.config().setWriteBufferWaterMark(WRITE_BUFFER_BYTES);
         connections.add(channel);
         boolean full = connectionCount.incrementAndGet() > limits.maxConnections();
         channel.closeFuture().addListener(closed -> connectionCount.decrementAndGet());
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingMesh.java
@@ -1,7 +1,6 @@
 package org.quetzalscale.daemon.sibling;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -11,7 +10,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -38,6 +36,7 @@
 import org.quetzalscale.core.time.TimeSource;
 import org.quetzalscale.daemon.config.ConfigService;
 import org.quetzalscale.daemon.config.SiblingLinks;
+import org.quetzalscale.net.TcpListeners;
 import org.tinylog.Logger;
 
 /**
@@ -102,15 +101,11 @@
     /** Listens and connects to the instances on the platform's list. */
     public void start() {
         listener =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(this::incoming))
-                        .bind(bindAddress)
-                        .syncUninterruptibly()
-                        .channel();
+                TcpListeners.listen(
+                        group,
+                        bindAddress,
+                        true,
+                        channel -> channel.pipeline().addLast(initializer(this::incoming)));
         tasks =
                 List.of(
                         every(LIST_MILLIS, this::refreshList),
@@ -120,7 +115,7 @@
 
     /** The port that it listens on. */
     public int port() {
-        return ((InetSocketAddress) listener.localAddress()).getPort();
+        return TcpListeners.port(listener);
     }
 
     /** Stops listening and closes all connections. */
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -1,20 +1,17 @@
 package org.quetzalscale.net.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import org.quetzalscale.net.TcpListeners;
 
 /** An HTTP server for small messages, for operators, metrics and the platform stand-in. */
 public final class JsonHttpServer {
@@ -46,28 +43,12 @@
 
     /** Listens. */
     public void start() {
-        listener =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.AUTO_READ, false)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        initialize(channel);
-                                    }
-                                })
-                        .bind(bindAddress)
-                        .syncUninterruptibly()
-                        .channel();
+        listener = TcpListeners.listen(group, bindAddress, false, this::initialize);
     }
 
     /** The port that it listens on. */
     public int port() {
-        return ((InetSocketAddress) listener.localAddress()).getPort();
+        return TcpListeners.port(listener);
     }
 
     /** Stops listening and closes all connections. */
--- a/standin/src/main/java/org/quetzalscale/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/quetzalscale/standin/target/TargetServer.java
@@ -1,14 +1,10 @@
 package org.quetzalscale.standin.target;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
@@ -18,6 +14,7 @@
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.net.EventLoops;
+import org.quetzalscale.net.TcpListeners;
 import org.quetzalscale.net.http.HttpCall;
 import org.quetzalscale.net.http.HttpReply;
 import org.quetzalscale.net.http.JsonHttpServer;
@@ -55,28 +52,17 @@
     /** Listens on both ports. */
     public void start() {
         listener =
-                new ServerBootstrap()
-                        .group(group)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.AUTO_READ, false)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        initialize(channel);
-                                    }
-                                })
-                        .bind(options.host(), options.port())
-                        .syncUninterruptibly()
-                        .channel();
+                TcpListeners.listen(
+                        group,
+                        new InetSocketAddress(options.host(), options.port()),
+                        false,
+                        this::initialize);
         control.start();
     }
 
     /** The port for requests. */
     public int port() {
-        return ((InetSocketAddress) listener.localAddress()).getPort();
+        return TcpListeners.port(listener);
     }
 
     /** The port for commands. */
