Register instances in the table before their copy may be valid

Cause: two instances that start within the lag of the platform's list do not know each other. The acceptor answered inForce: true although the other one, ready after its first table read, still used the revision before.

Change: an instance writes instance/<id> before a table read may make its copy valid. Rows go with a graceful stop, or when the list shows the instance gone.

Ruled out: waiting for the list to show the new instance itself, which a list that is away would turn into an instance that never gets ready.

Conclusion: in force holds for starting instances that reach the table.

--- a/acceptance/src/test/resources/org/quetzalscale/acceptance/scenario/start.feature
+++ b/acceptance/src/test/resources/org/quetzalscale/acceptance/scenario/start.feature
@@ -1,7 +1,6 @@
 Feature: Start of instances
   What holds while instances do not know each other yet.
 
-  @known-red
   Scenario: 10. A change soon after the start of two instances
     Given 2 instances that have just become ready
     When an operator creates a pool
--- a/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
+++ b/core/src/main/java/org/quetzalscale/core/job/JobDriver.java
@@ -153,6 +153,7 @@
                                 tracker.drive(time.nowMillis());
                             }
                             forget(tick);
+                            hadOpenJobs = !open.isEmpty();
                         });
     }
 
--- a/core/src/main/java/org/quetzalscale/core/table/Transaction.java
+++ b/core/src/main/java/org/quetzalscale/core/table/Transaction.java
@@ -29,6 +29,12 @@
             return this;
         }
 
+        /** Adds a mutation without a condition on its row. */
+        public Builder add(Mutation mutation) {
+            mutations.add(mutation);
+            return this;
+        }
+
         /** Writes a row without a condition on it. */
         public Builder put(RowKey key, String value) {
             mutations.add(Mutation.put(key, value));
--- a/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/config/ConfigService.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.quetzalscale.core.config.Change;
 import org.quetzalscale.core.config.ChangeRecord;
 import org.quetzalscale.core.config.ConfigReader;
@@ -24,9 +25,12 @@
 import org.quetzalscale.core.config.ConfigState;
 import org.quetzalscale.core.config.ConfigStore;
 import org.quetzalscale.core.config.ConfigWrite;
+import org.quetzalscale.core.config.InstanceRegistry;
+import org.quetzalscale.core.config.RegistrationTracker;
 import org.quetzalscale.core.config.Statement;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.fleet.Member;
+import org.quetzalscale.core.fleet.MemberState;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.Revision;
 import org.quetzalscale.core.object.ObjectStore;
@@ -57,6 +61,8 @@
     private final SnapshotArchive archive;
     private final ReentrantLock lock = new ReentrantLock();
     private final ConfigState state;
+    private final InstanceRegistry registry;
+    private final RegistrationTracker registrations;
     private final InForceWaiters waiters = new InForceWaiters();
     private final List<Consumer<ConfigSnapshot>> listeners = new CopyOnWriteArrayList<>();
     private final AtomicBoolean notifying = new AtomicBoolean();
@@ -67,6 +73,7 @@
     private volatile long validUntilMillis = Long.MIN_VALUE;
     private volatile SiblingLinks links = SiblingLinks.NONE;
     private volatile boolean introduced;
+    private volatile boolean registered;
     private volatile long startedMillis;
 
     /** Creates a service whose copy is empty and not valid. */
@@ -80,6 +87,8 @@
         this.store =
                 new ConfigStore(table, ChangeJson.CODECS, () -> self + "/" + UUID.randomUUID());
         this.archive = new SnapshotArchive(objects, time);
+        this.registry = new InstanceRegistry(table);
+        this.registrations = new RegistrationTracker(self);
     }
 
     private static Thread thread(Runnable task) {
@@ -125,6 +134,7 @@
     /** Stops all activity; the copy stays readable until its validity expires. */
     public void stop() {
         executor.shutdownNow();
+        forgetInstances(Set.of(self));
     }
 
     /** The id of this instance. */
@@ -177,6 +187,7 @@
                         changes -> {
                             changes.forEach(this::accepted);
                             catchUp();
+                            readRegistry();
                             return changes;
                         });
     }
@@ -201,7 +212,13 @@
 
     /** The instances that may still accept work under a revision older than the given one. */
     public SortedSet<InstanceId> pending(Revision revision) {
-        return locked(() -> state.pending(revision, time.nowMillis()));
+        return locked(
+                () -> {
+                    long nowMillis = time.nowMillis();
+                    SortedSet<InstanceId> pending = state.pending(revision, nowMillis);
+                    pending.addAll(registrations.pending(revision, state.known(), nowMillis));
+                    return pending;
+                });
     }
 
     /** The other instances that are known. */
@@ -229,6 +246,15 @@
     /** Takes the platform's list of entry instances. */
     public void list(List<Member> members) {
         update(() -> state.list(members, time.nowMillis()));
+        Set<InstanceId> ended =
+                members.stream()
+                        .filter(member -> member.state() == MemberState.GONE)
+                        .map(member -> new InstanceId(member.name()))
+                        .filter(registrations.registered()::contains)
+                        .collect(Collectors.toSet());
+        if (!ended.isEmpty()) {
+            forgetInstances(ended);
+        }
     }
 
     /** Takes another instance's hello. */
@@ -335,6 +361,10 @@
         if (!introduced && time.nowMillis() - startedMillis < INTRODUCTION_TIMEOUT_MILLIS) {
             return;
         }
+        if (!registered) {
+            register();
+            return;
+        }
         long startMillis = time.nowMillis();
         reader().revision()
                 .whenComplete(
@@ -348,6 +378,51 @@
                             }
                             update(() -> state.tableRead(startMillis, revision, time.nowMillis()));
                             catchUp();
+                            readRegistry();
+                        });
+    }
+
+    private void register() {
+        registry.register(self, incarnation)
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                Logger.debug("not registered: {}", failure.getMessage());
+                                recheckWithoutTable();
+                                return;
+                            }
+                            registered = true;
+                            execute(this::check);
+                        });
+    }
+
+    /** Reads which instances have started, if that was not done since the last change. */
+    private void readRegistry() {
+        Revision committed = statement().seen();
+        if (!locked(() -> registrations.needsRead(committed))) {
+            return;
+        }
+        registry.registered()
+                .whenComplete(
+                        (instances, failure) -> {
+                            if (failure != null) {
+                                Logger.debug("registry not read: {}", failure.getMessage());
+                                return;
+                            }
+                            update(
+                                    () ->
+                                            registrations.read(
+                                                    instances, committed, time.nowMillis()));
+                        });
+    }
+
+    private void forgetInstances(Set<InstanceId> ended) {
+        registry.remove(ended)
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                Logger.debug("rows of {} not removed", ended);
+                            }
                         });
     }
 
