Return units at a stop also when a tick is in flight

Cause: found while reading Daemon.stop. BlockHolder.stop started a tick that nobody awaited, and a tick that was in flight had planned before the stop, so a stopped instance could leave its blocks behind for 60 s.

Change: tick returns the stage of the tick in flight; stop waits for it and runs one more.

Ruled out: stopping the periodic ticks first, which does not end one that is in flight.

Conclusion: a planned stop returns all units that are not in use.

--- a/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
+++ b/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
@@ -59,6 +59,7 @@
     private final long quarantineEndMillis;
     private final List<Shard> shards = new ArrayList<>();
     private final AtomicBoolean inFlight = new AtomicBoolean();
+    private volatile CompletionStage<Void> running = CompletableFuture.completedFuture(null);
     private volatile boolean stopping;
     private boolean hasScanned;
 
@@ -174,10 +175,15 @@
         }
     }
 
-    /** Grants no more units, and returns each at the tick after its request ended. */
-    public void stop() {
+    /**
+     * Grants no more units, and returns each at the tick after its request ended.
+     *
+     * @return ends when the units that are not in use have been returned, or could not be
+     */
+    public CompletionStage<Void> stop() {
         stopping = true;
-        tick();
+        // A tick that is in flight may have planned before the stop, so one more follows it.
+        return tick().thenCompose(done -> tick());
     }
 
     /** Whether no unit is in use, so that the last tick since then returned all blocks. */
@@ -196,20 +202,23 @@
     }
 
     /**
-     * Reads the limit rows and rebalances this instance's blocks in one transaction. Does nothing
-     * while a former tick is in flight. The stage ends when the tick has; it never fails, since a
-     * later tick repeats what this one could not do.
+     * Reads the limit rows and rebalances this instance's blocks in one transaction. While a former
+     * tick is in flight, no other starts and the stage is that one's. It never fails, since a later
+     * tick repeats what this one could not do.
      */
     public CompletionStage<Void> tick() {
         if (!inFlight.compareAndSet(false, true)) {
-            return CompletableFuture.completedFuture(null);
+            return running;
         }
-        return attempt(1)
-                .handle(
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        running = ended;
+        attempt(1)
+                .whenComplete(
                         (done, failure) -> {
                             inFlight.set(false);
-                            return null;
+                            ended.complete(null);
                         });
+        return ended;
     }
 
     private CompletionStage<Void> attempt(int number) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -190,8 +190,7 @@
             Logger.warn("{} requests still ran at the bound and are cut", left);
         }
         callers.stop();
-        units.stop();
-        await("returning units", units.tick(), PLATFORM_TIMEOUT_MILLIS);
+        await("returning units", units.stop(), PLATFORM_TIMEOUT_MILLIS);
         maintenance.stop();
         jobs.stop();
         operators.stop();
