Make the stop test fail without the second tick

Change: the test holds back the commit, so that the tick in flight was planned before the stop.

Ruled out: nothing in the product changes.

Conclusion: the test now guards what it names.

--- a/core/src/test/java/org/quetzalscale/core/limit/BlockHolderStopTest.java
+++ b/core/src/test/java/org/quetzalscale/core/limit/BlockHolderStopTest.java
@@ -23,7 +23,7 @@
 
     private final InMemoryTable rows = new InMemoryTable();
     private final LimitRowText codec = new LimitRowText();
-    private CompletableFuture<Void> scanGate = CompletableFuture.completedFuture(null);
+    private CompletableFuture<Void> commitGate = CompletableFuture.completedFuture(null);
     private final BlockHolder holder =
             new BlockHolder(
                     new InstanceId("i-1"),
@@ -35,28 +35,24 @@
                     task -> {},
                     0);
 
-    /** Guards against a stop that leaves its block because a tick was in flight. */
+    /** Guards against a stop that keeps the block that a tick planned before the stop takes. */
     @Test
-    void returnsTheBlockAlsoWhenATickIsInFlight() {
+    void returnsTheBlockThatATickInFlightTakes() {
         rows.commit(
                 Transaction.builder().insert(KEY, codec.encode(new LimitRow(4, Map.of()))).build());
-        holder.tryAcquire(TEAM);
-        holder.tick();
-        assertThat(holder.tryAcquire(TEAM)).isTrue();
-        holder.release(TEAM);
-
-        scanGate = new CompletableFuture<>();
+        commitGate = new CompletableFuture<>();
+        assertThat(holder.tryAcquire(TEAM)).isFalse();
         holder.tick();
         CompletionStage<Void> stopped = holder.stop();
         assertThat(stopped.toCompletableFuture()).isNotDone();
-        scanGate.complete(null);
+        commitGate.complete(null);
 
         assertThat(stopped.toCompletableFuture()).isDone();
         Row row = rows.read(KEY).toCompletableFuture().join().orElseThrow();
         assertThat(codec.decode(row.value()).granted()).isZero();
     }
 
-    /** A table whose scans wait for the gate. */
+    /** A table whose commits wait for the gate. */
     private final class GatedTable implements TransactionalTable {
         @Override
         public CompletionStage<Optional<Row>> read(RowKey key) {
@@ -65,12 +61,12 @@
 
         @Override
         public CompletionStage<List<Row>> scan(String prefix) {
-            return scanGate.thenCompose(open -> rows.scan(prefix));
+            return rows.scan(prefix);
         }
 
         @Override
         public CompletionStage<CommitResult> commit(Transaction transaction) {
-            return rows.commit(transaction);
+            return commitGate.thenCompose(open -> rows.commit(transaction));
         }
     }
 }
