Close the listening socket before idle connections at a drain

Cause: DrainTest failed now and then because a connect succeeded after the drain had ended an idle connection. The listener's event loop closes its socket some time after listener.close() returns, and idle connections were closed on other loops meanwhile.

Change: idle connections are closed 10 ms after the listener's channel is.

Ruled out: a retry in the test, which would hide that a caller could connect to a stopping instance and be closed without an answer.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerServer.java
@@ -26,6 +26,7 @@
     private static final WriteBufferWaterMark WRITE_BUFFER_BYTES =
             new WriteBufferWaterMark(16 << 10, 32 << 10);
     private static final int DRAIN_POLL_MILLIS = 20;
+    private static final int LISTENER_CLOSE_MILLIS = 10;
 
     private final InetSocketAddress bindAddress;
     private final EventLoopGroup group;
@@ -144,7 +145,19 @@
     }
 
     private void stopAccepting(long boundMillis) {
-        listener.close();
+        // The event loop closes the socket some time after the channel. A caller whose idle
+        // connection ended before that could open a new one.
+        listener.close()
+                .addListener(
+                        closed ->
+                                group.next()
+                                        .schedule(
+                                                () -> closeIdle(boundMillis),
+                                                LISTENER_CLOSE_MILLIS,
+                                                TimeUnit.MILLISECONDS));
+    }
+
+    private void closeIdle(long boundMillis) {
         connections.forEach(
                 channel -> channel.pipeline().fireUserEventTriggered(DrainEvent.CLOSE_IF_IDLE));
         awaitEnd(boundMillis);
