--- a/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
+++ b/core/src/main/java/org/quetzalscale/core/limit/BlockHolder.java
@@ -175,6 +175,18 @@
         }
     }
 
+    /** Units of the team's limit that this instance holds, those under quarantine included. */
+    public int held(TeamId team) {
+        Shard shard = shard(team);
+        shard.lock.lock();
+        try {
+            LocalBlock block = shard.block(team);
+            return block.usable + block.quarantined;
+        } finally {
+            shard.lock.unlock();
+        }
+    }
+
     /**
      * Grants no more units, and returns each at the tick after its request ended.
      *
--- a/core/src/test/java/org/quetzalscale/core/limit/BlockHolderStopTest.java
+++ b/core/src/test/java/org/quetzalscale/core/limit/BlockHolderStopTest.java
@@ -46,6 +46,7 @@
         CompletionStage<Void> stopped = holder.stop();
         assertThat(stopped.toCompletableFuture()).isNotDone();
         commitGate.complete(null);
+        assertThat(holder.held(TEAM)).isZero();
 
         assertThat(stopped.toCompletableFuture()).isDone();
         Row row = rows.read(KEY).toCompletableFuture().join().orElseThrow();
--- a/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.quetzalscale.core.fleet.Member;
 import org.quetzalscale.core.fleet.MemberRole;
@@ -281,8 +282,8 @@
                         () -> workers.inFlight().values().stream().mapToInt(n -> n).sum(),
                         () -> config.snapshot().revision().value(),
                         config::isValid,
-                        this::unitsUsed,
-                        Map::of));
+                        () -> unitsByTeam(units::running),
+                        () -> unitsByTeam(units::held)));
     }
 
     private CallerServer callers(TimeSource time) {
@@ -308,8 +309,8 @@
                 new OperatorHooks(() -> ready, metrics::text, Map::of, (kind, name) -> Map.of()));
     }
 
-    private Map<TeamId, Integer> unitsUsed() {
-        return teams().stream().collect(Collectors.toMap(team -> team, units::running));
+    private Map<TeamId, Integer> unitsByTeam(Function<TeamId, Integer> count) {
+        return teams().stream().collect(Collectors.toMap(team -> team, count));
     }
 
     private List<TeamId> teams() {
