--- a/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
+++ b/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
@@ -64,6 +64,8 @@
     CONFIG_STALE(503, RunState.NOT_RUN, true),
     /** The platform's store did not take the operation. */
     STORE_UNAVAILABLE(503, RunState.NOT_RUN, true),
+    /** Another instance holds the lease under which the call was made. */
+    LEASE_LOST(409, RunState.NOT_RUN, false),
     /** The platform's store may have taken the operation. */
     STORE_OUTCOME_UNKNOWN(503, RunState.UNKNOWN, true),
     /** The instance is in graceful shutdown. */
--- a/core/src/main/java/org/quetzalscale/core/id/InstanceId.java
+++ b/core/src/main/java/org/quetzalscale/core/id/InstanceId.java
@@ -1,6 +1,6 @@
 package org.quetzalscale.core.id;
 
-/** Identifier of one entry instance of the system. */
+/** Identifier of an instance: one of the system itself, or one that a pool consists of. */
 public record InstanceId(String value) implements Comparable<InstanceId> {
     /**
      * Checks the form of the name.
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/id/OrganisationId.java
@@ -0,0 +1,24 @@
+package org.quetzalscale.core.id;
+
+/** Identifier of an organisation that submits jobs. */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+    /**
+     * Checks the form of the name.
+     *
+     * @throws org.quetzalscale.core.error.QuetzalscaleException INVALID_FIELD if the name is not of
+     *     the form that {@link Names} requires
+     */
+    public OrganisationId {
+        Names.requireName("organisation", value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -35,6 +35,7 @@
     private final RowKey epochKey;
     private final InstanceId self;
     private final TimeSource time;
+    private final long leaseMillis;
     private final ReentrantLock lock = new ReentrantLock();
 
     private long seenVersion = -1;
@@ -44,7 +45,7 @@
     private boolean busy;
 
     /**
-     * Creates a keeper that holds nothing.
+     * Creates a keeper that holds nothing, with the lease time {@link #LEASE_MILLIS}.
      *
      * @param name name of the lease, such as {@code jobs}
      */
@@ -54,12 +55,28 @@
             String name,
             InstanceId self,
             TimeSource time) {
+        this(table, codec, name, self, time, LEASE_MILLIS);
+    }
+
+    /**
+     * Creates a keeper that holds nothing.
+     *
+     * @param leaseMillis time after which an unchanged lease may be taken over
+     */
+    public LeaseKeeper(
+            TransactionalTable table,
+            RowCodec<LeaseRow> codec,
+            String name,
+            InstanceId self,
+            TimeSource time,
+            long leaseMillis) {
         this.table = table;
         this.codec = codec;
         this.leaseKey = RowKey.of("lease", name);
         this.epochKey = RowKey.of("lease", name, "epoch");
         this.self = self;
         this.time = time;
+        this.leaseMillis = leaseMillis;
     }
 
     /**
@@ -77,6 +94,19 @@
         }
     }
 
+    /**
+     * The lease, unless another instance is known to have taken it. Its time may have passed, as it
+     * does for every instance while the table is away.
+     */
+    public Optional<Lease> latest() {
+        lock.lock();
+        try {
+            return Optional.ofNullable(held);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Renews the lease or tries to acquire it; call it every {@link #RENEW_MILLIS}. Errors of the
      * table end the attempt; the next call tries again.
@@ -121,7 +151,7 @@
 
     private CompletionStage<Void> advance(Optional<Row> row, long startedMillis) {
         if (row.isEmpty()) {
-            return take(Transaction.builder().insert(leaseKey, encode(0)), startedMillis);
+            return take(Transaction.builder().insert(leaseKey, encode(0)), startedMillis, 0);
         }
         if (!isOwn(row.get())) {
             // Otherwise a later acquisition whose answer was lost would be renewed with this fence.
@@ -132,8 +162,9 @@
         if (!decode(row.get()).holder().isEmpty() && !unchangedForLeaseTime(row.get())) {
             return CompletableFuture.completedFuture(null);
         }
-        String taken = encode(decode(row.get()).renewals() + 1);
-        return take(Transaction.builder().replace(row.get(), taken), startedMillis);
+        long renewals = decode(row.get()).renewals() + 1;
+        Transaction.Builder taken = Transaction.builder().replace(row.get(), encode(renewals));
+        return take(taken, startedMillis, renewals);
     }
 
     private CompletionStage<Void> renew(Row row, long startedMillis) {
@@ -150,19 +181,20 @@
                         });
     }
 
-    private CompletionStage<Void> take(Transaction.Builder transaction, long startedMillis) {
+    private CompletionStage<Void> take(
+            Transaction.Builder transaction, long startedMillis, long renewals) {
         return table.commit(transaction.put(epochKey, self.value()).build())
-                .thenAccept(result -> accept(result, startedMillis));
+                .thenAccept(result -> accept(result, startedMillis, renewals));
     }
 
-    private void accept(CommitResult result, long startedMillis) {
+    private void accept(CommitResult result, long startedMillis, long renewals) {
         if (!result.isCommitted()) {
             return;
         }
         lock.lock();
         try {
-            held = new Lease(new Condition(epochKey, result.version()));
-            heldUntilMillis = startedMillis + LEASE_MILLIS;
+            held = new Lease(new Condition(epochKey, result.version()), renewals);
+            heldUntilMillis = startedMillis + leaseMillis;
         } finally {
             lock.unlock();
         }
@@ -171,7 +203,7 @@
     private void extend(long startedMillis) {
         lock.lock();
         try {
-            heldUntilMillis = startedMillis + LEASE_MILLIS;
+            heldUntilMillis = startedMillis + leaseMillis;
         } finally {
             lock.unlock();
         }
@@ -194,7 +226,7 @@
                 seenVersion = row.version();
                 seenSinceMillis = now;
             }
-            return now - seenSinceMillis >= LEASE_MILLIS;
+            return now - seenSinceMillis >= leaseMillis;
         } finally {
             lock.unlock();
         }
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -0,0 +1,92 @@
+package org.quetzalscale.core.schedule;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.TaskRef;
+
+/** Jobs and workers of an owner; keeps what tasks take of workers and caps in step with both. */
+final class FleetState {
+    final Map<JobId, JobRun> jobs = new LinkedHashMap<>();
+    final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
+    final UsageLedger usage = new UsageLedger();
+
+    /** Jobs that have not ended, by pool and in order of arrival. */
+    private final Map<PoolId, Set<JobRun>> active = new LinkedHashMap<>();
+
+    private final Map<PoolId, Map<WorkerId, WorkerState>> pools = new LinkedHashMap<>();
+
+    void addJob(JobRun job) {
+        jobs.put(job.definition.id(), job);
+        if (!job.phase.isFinal()) {
+            active.computeIfAbsent(job.definition.pool(), pool -> new LinkedHashSet<>()).add(job);
+        }
+    }
+
+    void deactivate(JobRun job) {
+        active.getOrDefault(job.definition.pool(), Set.of()).remove(job);
+    }
+
+    void addWorker(WorkerState worker) {
+        workers.put(worker.entry.id(), worker);
+        pools.computeIfAbsent(worker.entry.pool(), pool -> new LinkedHashMap<>())
+                .put(worker.entry.id(), worker);
+    }
+
+    void removeWorker(WorkerState worker) {
+        workers.remove(worker.entry.id());
+        pools.getOrDefault(worker.entry.pool(), Map.of()).remove(worker.entry.id());
+    }
+
+    Set<PoolId> activePools() {
+        return active.keySet();
+    }
+
+    Collection<JobRun> activeJobs(PoolId pool) {
+        return active.getOrDefault(pool, Set.of());
+    }
+
+    Collection<WorkerState> workersOf(PoolId pool) {
+        return pools.getOrDefault(pool, Map.of()).values();
+    }
+
+    /** The task, or null if no job has it. */
+    TrackedTask task(TaskRef ref) {
+        JobRun job = jobs.get(ref.job());
+        return job == null ? null : job.task(ref);
+    }
+
+    /** Counts the task on the worker and against its organisation's cap. */
+    void occupy(TrackedTask task, WorkerState worker, TrackedTask.State state, long nowMillis) {
+        task.worker = worker.entry.id();
+        task.enter(state, nowMillis);
+        worker.tasks.put(task.ref, task);
+        worker.used = worker.used.plus(task.step.definition.reserved());
+        usage.add(task.step.job.definition.organisation(), task.step.definition.need());
+    }
+
+    /** Ends what {@link #occupy} counted; the task waits or, if its job ended, is dropped. */
+    void vacate(TrackedTask task, long nowMillis) {
+        WorkerState worker = workers.get(task.worker);
+        if (worker != null && worker.tasks.remove(task.ref) != null) {
+            worker.used =
+                    worker.tasks.isEmpty()
+                            ? Resources.NONE
+                            : worker.used.minus(task.step.definition.reserved());
+        }
+        usage.remove(task.step.job.definition.organisation(), task.step.definition.need());
+        task.worker = null;
+        task.percent = 0;
+        task.pacePercent = 100;
+        task.stopSentMillis = 0;
+        task.stopAnsweredMillis = 0;
+        boolean ended = task.step.job.phase.isFinal();
+        task.enter(ended ? TrackedTask.State.DROPPED : TrackedTask.State.WAITING, nowMillis);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
@@ -0,0 +1,106 @@
+package org.quetzalscale.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.JobPhase;
+import org.quetzalscale.core.task.JobProgress;
+import org.quetzalscale.core.task.StepProgress;
+import org.quetzalscale.core.task.TaskRef;
+
+/** A job with the state of its tasks. */
+final class JobRun {
+    final JobDefinition definition;
+
+    /** When the job was accepted, on the owner's monotonic clock. */
+    final long acceptedMillis;
+
+    /** Steps by occurrence. */
+    private final List<List<StepRun>> occurrences = new ArrayList<>();
+
+    JobPhase phase = JobPhase.QUEUED;
+    long endedMillis;
+
+    /** Whether no task may start yet, because an earlier owner's runs are not all known. */
+    boolean held;
+
+    JobRun(JobDefinition definition, long acceptedMillis) {
+        this.definition = definition;
+        this.acceptedMillis = acceptedMillis;
+        for (int occurrence = 0; occurrence < definition.recurrence().occurrences(); occurrence++) {
+            List<StepRun> steps = new ArrayList<>(definition.steps().size());
+            for (int number = 0; number < definition.steps().size(); number++) {
+                steps.add(new StepRun(this, occurrence, number, definition.steps().get(number)));
+            }
+            occurrences.add(steps);
+        }
+    }
+
+    int occurrenceCount() {
+        return occurrences.size();
+    }
+
+    List<StepRun> steps(int occurrence) {
+        return occurrences.get(occurrence);
+    }
+
+    /** The task, or null if the job has no such task. */
+    TrackedTask task(TaskRef ref) {
+        if (ref.occurrence() >= occurrences.size()
+                || ref.step() >= occurrences.get(ref.occurrence()).size()) {
+            return null;
+        }
+        List<TrackedTask> tasks = occurrences.get(ref.occurrence()).get(ref.step()).tasks;
+        return ref.index() < tasks.size() ? tasks.get(ref.index()) : null;
+    }
+
+    /** Whether the tasks of all earlier steps that this step waits for have ended well. */
+    boolean isReady(StepRun step) {
+        for (int earlier : step.definition.after()) {
+            if (!occurrences.get(step.occurrence).get(earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean allDone() {
+        return occurrences.stream().allMatch(steps -> steps.stream().allMatch(StepRun::isDone));
+    }
+
+    boolean hasBegun() {
+        return occurrences.stream().anyMatch(steps -> steps.stream().anyMatch(StepRun::hasBegun));
+    }
+
+    /** Whether any task may still run on a worker. */
+    boolean occupiesWorkers() {
+        return occurrences.stream()
+                .flatMap(List::stream)
+                .flatMap(step -> step.tasks.stream())
+                .anyMatch(TrackedTask::occupies);
+    }
+
+    void restore(JobProgress progress, long nowMillis) {
+        phase = progress.phase();
+        for (StepProgress step : progress.steps()) {
+            if (step.occurrence() < occurrences.size()
+                    && step.step() < occurrences.get(step.occurrence()).size()) {
+                occurrences.get(step.occurrence()).get(step.step()).restore(step, nowMillis);
+            }
+        }
+        if (phase.isFinal()) {
+            endedMillis = nowMillis;
+        }
+    }
+
+    JobProgress progress() {
+        List<StepProgress> steps = new ArrayList<>();
+        if (!phase.isFinal()) {
+            occurrences.stream()
+                    .flatMap(List::stream)
+                    .filter(StepRun::hasBegun)
+                    .forEach(step -> steps.add(step.progress()));
+        }
+        return new JobProgress(definition.id(), phase, steps);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -0,0 +1,66 @@
+package org.quetzalscale.core.schedule;
+
+import java.util.Collection;
+import org.quetzalscale.core.task.StepDefinition;
+
+/**
+ * Chooses the worker for a task: one with room, on the rack of the task's data, not the one where
+ * the task failed, and the one with the most free processors.
+ */
+final class Placement {
+    private static final double DATA_RACK_BONUS = 2;
+    private static final double FAILED_HERE_PENALTY = 4;
+    private static final double SUSPECT_PENALTY = 8;
+    private static final double COLD_PENALTY = 1;
+
+    private Placement() {}
+
+    /** The worker, or null if none takes the task now. */
+    static WorkerState choose(TrackedTask task, Collection<WorkerState> workers, long nowMillis) {
+        WorkerState best = null;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        for (WorkerState worker : workers) {
+            if (!mayRun(task, worker, nowMillis)) {
+                continue;
+            }
+            double score = score(task, worker);
+            if (score > bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private static boolean mayRun(TrackedTask task, WorkerState worker, long nowMillis) {
+        StepDefinition step = task.step.definition;
+        if (!worker.takesWork(nowMillis) || !worker.hasRoom(step.reserved())) {
+            return false;
+        }
+        if (worker.isSuspect() && !worker.tasks.isEmpty()) {
+            return false;
+        }
+        if (step.requiredLabel().isPresent()
+                && !worker.entry.labels().contains(step.requiredLabel().get())) {
+            return false;
+        }
+        return step.maxPerWorker() == 0 || worker.tasksOf(task.step) < step.maxPerWorker();
+    }
+
+    private static double score(TrackedTask task, WorkerState worker) {
+        double score = worker.freeShare();
+        if (task.step.definition.dataRack().filter(worker.entry.rack()::equals).isPresent()) {
+            score += DATA_RACK_BONUS;
+        }
+        if (worker.entry.id().equals(task.lastFailedOn)) {
+            score -= FAILED_HERE_PENALTY;
+        }
+        if (worker.isSuspect()) {
+            score -= SUSPECT_PENALTY;
+        }
+        if (worker.entry.coldRemainingMillis() > 0) {
+            score -= COLD_PENALTY;
+        }
+        return score;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -0,0 +1,90 @@
+package org.quetzalscale.core.schedule;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.quetzalscale.core.task.StepDefinition;
+import org.quetzalscale.core.task.StepProgress;
+import org.quetzalscale.core.task.TaskRef;
+
+/** The tasks of one step in one occurrence of a job. */
+final class StepRun {
+    final JobRun job;
+    final int occurrence;
+    final int number;
+    final StepDefinition definition;
+    final List<TrackedTask> tasks;
+    private int done;
+    private int begun;
+
+    StepRun(JobRun job, int occurrence, int number, StepDefinition definition) {
+        this.job = job;
+        this.occurrence = occurrence;
+        this.number = number;
+        this.definition = definition;
+        this.tasks = new ArrayList<>(definition.count());
+        for (int index = 0; index < definition.count(); index++) {
+            TaskRef ref = new TaskRef(job.definition.id(), occurrence, number, index);
+            tasks.add(new TrackedTask(ref, this));
+        }
+    }
+
+    boolean isDone() {
+        return done == tasks.size();
+    }
+
+    int remaining() {
+        return tasks.size() - done;
+    }
+
+    /** Whether a task of the step was ever ordered to start. */
+    boolean hasBegun() {
+        return begun > 0;
+    }
+
+    void markBegun() {
+        begun++;
+    }
+
+    void markDone(TrackedTask task, long nowMillis) {
+        if (task.state == TrackedTask.State.DONE) {
+            return;
+        }
+        task.enter(TrackedTask.State.DONE, nowMillis);
+        done++;
+    }
+
+    /** Takes over what an earlier owner recorded. */
+    void restore(StepProgress progress, long nowMillis) {
+        progress.done().stream()
+                .filter(index -> index < tasks.size())
+                .forEach(index -> markDone(tasks.get(index), nowMillis));
+        progress.failures().forEach((index, count) -> tasks.get(index).failures = count);
+        progress.checkpoints().forEach((index, text) -> tasks.get(index).checkpoint = text);
+        if (done > 0 || !progress.failures().isEmpty()) {
+            markBegun();
+        }
+    }
+
+    StepProgress progress() {
+        BitSet finished = new BitSet(tasks.size());
+        Map<Integer, Integer> failures = new HashMap<>();
+        Map<Integer, String> checkpoints = new HashMap<>();
+        for (TrackedTask task : tasks) {
+            int index = task.ref.index();
+            if (task.state == TrackedTask.State.DONE) {
+                finished.set(index);
+                continue;
+            }
+            if (task.failures > 0) {
+                failures.put(index, task.failures);
+            }
+            if (!task.checkpoint.isEmpty()) {
+                checkpoints.put(index, task.checkpoint);
+            }
+        }
+        return new StepProgress(occurrence, number, finished, failures, checkpoints);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -0,0 +1,72 @@
+package org.quetzalscale.core.schedule;
+
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.task.TaskRef;
+
+/** A task with what its owner knows of its runs. */
+final class TrackedTask {
+    enum State {
+        /** Nothing runs; may be started when its turn comes. */
+        WAITING,
+        /** A start was sent and is not answered. */
+        ORDERED,
+        /** The worker confirmed the run. */
+        RUNNING,
+        /** A run that may exist is being stopped. */
+        STOPPING,
+        /** The task ended well. */
+        DONE,
+        /** Will not run any more, because its job ended. */
+        DROPPED
+    }
+
+    final TaskRef ref;
+    final StepRun step;
+    State state = State.WAITING;
+    WorkerId worker;
+    WorkerId lastFailedOn;
+    long run;
+    String checkpoint = "";
+    int failures;
+    int percent;
+    int pacePercent = 100;
+    long load;
+    long pacedMillis;
+
+    /** When the present state began. */
+    long sinceMillis;
+
+    /** When the percentage last changed. */
+    long progressedMillis;
+
+    /** When the task last stopped being at work through an order of the owner; 0 if at work. */
+    long evictedMillis;
+
+    /** No start before this time. */
+    long notBeforeMillis;
+
+    long stopSentMillis;
+
+    /** When the worker answered the stop; 0 before. */
+    long stopAnsweredMillis;
+
+    TrackedTask(TaskRef ref, StepRun step) {
+        this.ref = ref;
+        this.step = step;
+    }
+
+    /** Whether the task takes room on a worker. */
+    boolean occupies() {
+        return state == State.ORDERED || state == State.RUNNING || state == State.STOPPING;
+    }
+
+    /** Whether the task does its work, as a lasting task's users see it. */
+    boolean isAtWork() {
+        return state == State.RUNNING && percent >= 100;
+    }
+
+    void enter(State next, long nowMillis) {
+        state = next;
+        sinceMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -0,0 +1,75 @@
+package org.quetzalscale.core.schedule;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerEntry;
+
+/** A worker with what the owner placed on it. */
+final class WorkerState {
+    /** Failures in a row after which a worker gets one task at a time. */
+    private static final int SUSPECT_FAILURES = 3;
+
+    WorkerEntry entry;
+
+    /** Whether the worker has answered this owner, so that it follows no earlier one. */
+    boolean open;
+
+    /** Whether the platform lists the worker. */
+    boolean listed = true;
+
+    /** Set while the worker is emptied for maintenance or a move. */
+    boolean cordoned;
+
+    /** Set while calls to the worker fail. */
+    boolean silent;
+
+    /** No start before this time, after the worker refused one. */
+    long avoidUntilMillis;
+
+    /** Until then runs may go on without word from the worker, on the owner's clock. */
+    long leaseUntilMillis;
+
+    int failuresInRow;
+    long lastFailureMillis;
+    Resources used = Resources.NONE;
+    final Map<TaskRef, TrackedTask> tasks = new LinkedHashMap<>();
+
+    WorkerState(WorkerEntry entry) {
+        this.entry = entry;
+    }
+
+    boolean takesWork(long nowMillis) {
+        return open
+                && listed
+                && !cordoned
+                && !silent
+                && !entry.draining()
+                && nowMillis >= avoidUntilMillis;
+    }
+
+    boolean isSuspect() {
+        return failuresInRow >= SUSPECT_FAILURES;
+    }
+
+    boolean hasRoom(Resources need) {
+        return used.plus(need).fitsIn(entry.capacity());
+    }
+
+    /** The free part of the processors, 0 to 1. */
+    double freeShare() {
+        double cores = entry.capacity().cores();
+        return cores <= 0 ? 0 : (cores - used.cores()) / cores;
+    }
+
+    int tasksOf(StepRun step) {
+        int count = 0;
+        for (TrackedTask task : tasks.values()) {
+            if (task.step == step) {
+                count++;
+            }
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/table/RowSnapshot.java
@@ -0,0 +1,15 @@
+package org.quetzalscale.core.table;
+
+import java.util.List;
+
+/**
+ * Rows as of one commit.
+ *
+ * @param version the table version of that commit, from which a feed of changes continues
+ */
+public record RowSnapshot(List<Row> rows, long version) {
+    /** Copies the list. */
+    public RowSnapshot {
+        rows = List.copyOf(rows);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/quetzalscale/core/task/StepProgress.java
@@ -0,0 +1,25 @@
+package org.quetzalscale.core.task;
+
+import java.util.BitSet;
+import java.util.Map;
+
+/**
+ * What is recorded of a step.
+ *
+ * @param done indices of the tasks that ended well
+ * @param failures number of failed runs by index, where there are any
+ * @param checkpoints newest checkpoint by index, where there is one
+ */
+public record StepProgress(
+        int occurrence,
+        int step,
+        BitSet done,
+        Map<Integer, Integer> failures,
+        Map<Integer, String> checkpoints) {
+    /** Copies the parts. */
+    public StepProgress {
+        done = (BitSet) done.clone();
+        failures = Map.copyOf(failures);
+        checkpoints = Map.copyOf(checkpoints);
+    }
+}
--- a/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
+++ b/core/src/test/java/org/quetzalscale/core/job/JobStoreTest.java
@@ -50,7 +50,7 @@
 
     private Lease takeLease() {
         Transaction taken = Transaction.builder().put(EPOCH, "x").build();
-        return new Lease(new Condition(EPOCH, join(table.commit(taken)).version()));
+        return new Lease(new Condition(EPOCH, join(table.commit(taken)).version()), 0);
     }
 
     private Optional<List<StoredJob>> commit(JobChange change) {
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -0,0 +1,45 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.Optional;
+import java.util.function.BiFunction;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.table.FeedTable;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.task.WorkerCalls;
+import org.quetzalscale.core.task.WorkerEntry;
+
+/**
+ * What an owner of the fleet works with.
+ *
+ * @param self this instance
+ * @param calls calls to workers
+ * @param workers where workers are listed
+ */
+public record FleetContext(
+        InstanceId self, LoopClock clock, FeedTable table, WorkerCalls calls, WorkerRows workers) {
+    /**
+     * Where workers are listed.
+     *
+     * @param table first segment of the rows' keys
+     * @param prefix what all keys begin with; the worker's name follows
+     * @param codec makes a worker of its name and the row's text
+     */
+    public record WorkerRows(
+            String table, String prefix, BiFunction<String, String, WorkerEntry> codec) {
+        Optional<String> nameOf(RowKey key) {
+            return key.value().startsWith(prefix)
+                    ? Optional.of(key.value().substring(prefix.length()))
+                    : Optional.empty();
+        }
+
+        Optional<WorkerId> idOf(RowKey key) {
+            try {
+                return nameOf(key).map(WorkerId::new);
+            } catch (QuetzalscaleException e) {
+                return Optional.empty();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -0,0 +1,155 @@
+package org.quetzalscale.daemon.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.table.FeedTable;
+import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.JobPhase;
+import org.quetzalscale.net.json.Json;
+import org.tinylog.Logger;
+
+/**
+ * Records submissions and cancellations, and reads the state of jobs. Any instance may do so; the
+ * owner of the fleet follows the rows.
+ *
+ * <p>Stages fail with STORE_UNAVAILABLE if nothing was recorded, and with STORE_OUTCOME_UNKNOWN if
+ * it may have been.
+ */
+public final class JobGateway {
+    private static final long RETRY_MILLIS = 60;
+
+    /** Refusals of the store after which a submission is refused, so that the caller goes on. */
+    private static final int MAX_REFUSALS = 3;
+
+    private static final long WAITING_AGE_MILLIS = 800;
+
+    private final FeedTable table;
+    private final LoopClock clock;
+    private JsonNode waiting;
+    private long waitingReadMillis;
+
+    /** Creates a gateway. */
+    public JobGateway(FeedTable table, LoopClock clock) {
+        this.table = table;
+        this.clock = clock;
+    }
+
+    /**
+     * Records a job. A job that is recorded already stays as it is.
+     *
+     * @param deadlineMillis when the caller no longer waits, on the monotonic clock
+     */
+    public CompletionStage<Void> submit(JobDefinition job, long deadlineMillis) {
+        Transaction insertion =
+                Transaction.builder()
+                        .insert(FleetRows.job(job.id()), JobDocuments.DEFINITION.encode(job))
+                        .build();
+        return insist(() -> table.commit(insertion).thenApply(result -> null), deadlineMillis)
+                .thenApply(result -> null);
+    }
+
+    /** The state of a job; empty if there is no such job. */
+    public CompletionStage<Optional<JobPhase>> phase(JobId id, long deadlineMillis) {
+        return insist(() -> table.read(FleetRows.progress(id)), deadlineMillis)
+                .thenCompose(
+                        row -> {
+                            if (row.isPresent()) {
+                                return CompletableFuture.completedFuture(row.map(this::phaseOf));
+                            }
+                            return insist(() -> table.read(FleetRows.job(id)), deadlineMillis)
+                                    .thenApply(job -> job.map(ignored -> JobPhase.QUEUED));
+                        });
+    }
+
+    /**
+     * Records a cancellation.
+     *
+     * @return whether there is such a job
+     */
+    public CompletionStage<Boolean> cancel(JobId id, long deadlineMillis) {
+        return insist(() -> table.read(FleetRows.job(id)), deadlineMillis)
+                .thenCompose(
+                        row -> {
+                            if (row.isEmpty()) {
+                                return CompletableFuture.completedFuture(false);
+                            }
+                            Transaction mark =
+                                    Transaction.builder()
+                                            .put(FleetRows.cancellation(id), "{}")
+                                            .build();
+                            return insist(() -> table.commit(mark), deadlineMillis)
+                                    .thenApply(ignored -> true);
+                        });
+    }
+
+    /** Number of the queue's jobs of which nothing has started, as the owner last published it. */
+    public CompletionStage<Integer> waiting(QueueId queue, long deadlineMillis) {
+        if (waiting != null && clock.nowMillis() - waitingReadMillis < WAITING_AGE_MILLIS) {
+            return CompletableFuture.completedFuture(waiting.path(queue.value()).asInt());
+        }
+        return insist(() -> table.read(FleetRows.WAITING), deadlineMillis)
+                .thenApply(
+                        row -> {
+                            waiting = Json.read(row.map(Row::value).orElse("{}"), JsonNode.class);
+                            waitingReadMillis = clock.nowMillis();
+                            return waiting.path(queue.value()).asInt();
+                        });
+    }
+
+    private JobPhase phaseOf(Row row) {
+        return JobDocuments.PROGRESS.decode(row.value()).phase();
+    }
+
+    /** Repeats a call that may be repeated, until it is answered or the deadline comes. */
+    private <T> CompletionStage<T> insist(Supplier<CompletionStage<T>> call, long deadlineMillis) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        attempt(call, deadlineMillis, result, 0, false);
+        return result;
+    }
+
+    private <T> void attempt(
+            Supplier<CompletionStage<T>> call,
+            long deadlineMillis,
+            CompletableFuture<T> result,
+            int refusals,
+            boolean uncertain) {
+        call.get()
+                .whenComplete(
+                        (value, failure) -> {
+                            if (failure == null) {
+                                result.complete(value);
+                                return;
+                            }
+                            QuetzalscaleException error = QuetzalscaleException.from(failure);
+                            boolean unknown = error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN;
+                            int refused = unknown ? refusals : refusals + 1;
+                            boolean doubt = uncertain || unknown;
+                            if ((!doubt && refused >= MAX_REFUSALS)
+                                    || clock.nowMillis() + RETRY_MILLIS >= deadlineMillis) {
+                                Logger.warn(
+                                        "event=store_call_failed cause=\"{}\"", error.getMessage());
+                                result.completeExceptionally(doubt ? uncertain(error) : error);
+                                return;
+                            }
+                            clock.after(
+                                    RETRY_MILLIS,
+                                    () -> attempt(call, deadlineMillis, result, refused, doubt));
+                        });
+    }
+
+    private static QuetzalscaleException uncertain(QuetzalscaleException error) {
+        return error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
+                ? error
+                : new QuetzalscaleException(
+                        ErrorKind.STORE_OUTCOME_UNKNOWN, error.getMessage(), error);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -0,0 +1,107 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.lease.LeaseKeeper;
+import org.quetzalscale.core.lease.LeaseRow;
+import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.net.json.Json;
+
+/**
+ * Competes for the owner's lease, and owns the fleet while it has it.
+ *
+ * <p>While the store is away for all instances, nobody can take the lease, and the owner goes on.
+ * An owner that alone does not reach the store is replaced; its workers tell it so.
+ */
+public final class OwnerService {
+    private static final long LEASE_MILLIS = 2_000;
+    private static final long RENEW_MILLIS = 500;
+
+    private final FleetContext context;
+    private final PolicyFollower policies;
+    private final LeaseKeeper keeper;
+    private OwnerTerm term;
+    private long fencedVersion = -1;
+    private boolean stopped;
+
+    /** Creates a service that owns nothing. */
+    public OwnerService(FleetContext context, PolicyFollower policies) {
+        this.context = context;
+        this.policies = policies;
+        this.keeper =
+                new LeaseKeeper(
+                        context.table(),
+                        Json.codec(LeaseRow.class),
+                        FleetRows.SHARD,
+                        context.self(),
+                        context.clock().time(),
+                        LEASE_MILLIS);
+    }
+
+    /** Begins to compete. */
+    public void start() {
+        policies.listen(this::policy);
+        tick();
+    }
+
+    /** Ends the term and gives the lease back. The stage completes when the store knows. */
+    public CompletionStage<Void> stop() {
+        stopped = true;
+        endTerm();
+        return keeper.release();
+    }
+
+    /** Whether this instance owns the fleet. */
+    public boolean isOwner() {
+        return term != null;
+    }
+
+    private void policy(FleetPolicy policy) {
+        if (term != null) {
+            term.policy(policy);
+        }
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        if (policies.current().isPresent()) {
+            keeper.tick().whenComplete((ignored, failure) -> follow());
+        }
+        context.clock().after(RENEW_MILLIS, this::tick);
+    }
+
+    private void follow() {
+        Optional<Lease> lease = keeper.latest();
+        if (stopped || lease.isEmpty() || lease.get().fence().version() == fencedVersion) {
+            endTerm();
+            return;
+        }
+        long version = lease.get().fence().version();
+        if (term != null && term.fence() == version) {
+            return;
+        }
+        endTerm();
+        term =
+                new OwnerTerm(
+                        context,
+                        lease.get(),
+                        policies.current().orElseThrow(),
+                        () -> fenced(version));
+        term.start();
+    }
+
+    private void fenced(long version) {
+        fencedVersion = version;
+        endTerm();
+    }
+
+    private void endTerm() {
+        if (term != null) {
+            term.stop();
+            term = null;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -0,0 +1,416 @@
+package org.quetzalscale.daemon.fleet;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.schedule.FleetScheduler;
+import org.quetzalscale.core.schedule.Orders;
+import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.RowSnapshot;
+import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.JobProgress;
+import org.quetzalscale.core.task.StartOrder;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerEntry;
+import org.tinylog.Logger;
+
+/**
+ * The time from taking the owner's lease until another instance takes it: reads what is recorded,
+ * raises the fence of all workers and then schedules the fleet.
+ */
+final class OwnerTerm implements WorkerSession.Term, Orders {
+    private static final int FEED_WAIT_MILLIS = 1_000;
+    private static final long RETRY_MILLIS = 100;
+    private static final long DIRECTORY_MILLIS = 400;
+    private static final long PLAN_DELAY_MILLIS = 2;
+    private static final long PLAN_INTERVAL_MILLIS = 100;
+    private static final long PUBLISH_MILLIS = 800;
+    private static final long MAX_AGE_MILLIS = 600_000;
+
+    /** More starts than an owner orders of one task between two renewals of its lease. */
+    private static final long RUNS_PER_GENERATION = 1_000;
+
+    private final FleetContext context;
+    private final LoopClock clock;
+    private final Lease lease;
+    private final FleetScheduler scheduler;
+    private final ProgressRecorder recorder;
+    private final Runnable onFenced;
+    private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
+    private final long takenMillis;
+    private boolean ended;
+    private boolean scheduling;
+    private boolean planPending;
+    private String published = "";
+
+    OwnerTerm(FleetContext context, Lease lease, FleetPolicy policy, Runnable onFenced) {
+        this.context = context;
+        this.clock = context.clock();
+        this.lease = lease;
+        this.onFenced = onFenced;
+        this.takenMillis = clock.nowMillis();
+        this.scheduler = new FleetScheduler(policy, this, lease.generation() * RUNS_PER_GENERATION);
+        this.recorder =
+                new ProgressRecorder(
+                        context.table(), clock, lease.fence(), scheduler, sessions, onFenced);
+    }
+
+    /** Reads jobs, then their progress, then workers. Progress is read after the jobs it is of. */
+    void start() {
+        if (ended) {
+            return;
+        }
+        Logger.info("event=term_begins fence={}", fence());
+        load();
+    }
+
+    void stop() {
+        ended = true;
+        recorder.stop();
+        Logger.info("event=term_ends fence={}", fence());
+    }
+
+    void policy(FleetPolicy policy) {
+        scheduler.policy(policy);
+        planSoon();
+    }
+
+    long fence() {
+        return lease.fence().version();
+    }
+
+    @Override
+    public FleetScheduler scheduler() {
+        return scheduler;
+    }
+
+    @Override
+    public boolean ended() {
+        return ended;
+    }
+
+    @Override
+    public void fenced(WorkerId worker) {
+        if (!ended) {
+            Logger.warn("event=fenced_by worker={} fence={}", worker, fence());
+            onFenced.run();
+        }
+    }
+
+    @Override
+    public void planSoon() {
+        if (!planPending && scheduling && !ended) {
+            planPending = true;
+            clock.after(PLAN_DELAY_MILLIS, this::plan);
+        }
+    }
+
+    @Override
+    public void start(WorkerId worker, StartOrder order) {
+        WorkerSession session = sessions.get(worker);
+        if (session != null) {
+            session.send(order);
+        }
+    }
+
+    @Override
+    public void stop(WorkerId worker, TaskRef task, long run) {
+        WorkerSession session = sessions.get(worker);
+        if (session != null) {
+            Logger.info("event=stop task={} run={} worker={}", task, run, worker);
+            session.stop(task, run);
+        }
+    }
+
+    @Override
+    public void pace(WorkerId worker, TaskRef task, long run, int percent) {
+        WorkerSession session = sessions.get(worker);
+        if (session != null) {
+            Logger.info("event=pace task={} worker={} percent={}", task, worker, percent);
+            session.pace(task, run, percent);
+        }
+    }
+
+    private void load() {
+        if (ended) {
+            return;
+        }
+        context.table()
+                .snapshot(FleetRows.JOBS_PREFIX)
+                .thenCompose(
+                        jobs ->
+                                context.table()
+                                        .scan(FleetRows.PROGRESS_PREFIX)
+                                        .thenAccept(progress -> loaded(jobs, progress)))
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null) {
+                                Logger.warn("event=load_failed cause=\"{}\"", failure.getMessage());
+                                clock.after(RETRY_MILLIS, this::load);
+                            }
+                        });
+    }
+
+    private void loaded(RowSnapshot jobs, List<Row> progressRows) {
+        if (ended || scheduling) {
+            return;
+        }
+        Map<JobId, JobProgress> progress = new HashMap<>();
+        for (Row row : progressRows) {
+            decoded(row.key(), () -> JobDocuments.PROGRESS.decode(row.value()))
+                    .ifPresent(value -> progress.put(value.job(), value));
+        }
+        for (Row row : jobs.rows()) {
+            apply(row.key(), row.value(), progress);
+        }
+        scheduling = true;
+        scheduler.holdInherited();
+        Logger.info(
+                "event=jobs_loaded rows={} progress={} ms={}",
+                jobs.rows().size(),
+                progress.size(),
+                clock.nowMillis() - takenMillis);
+        followJobs(jobs.version());
+        readWorkers();
+        planRegularly();
+        publishRegularly();
+    }
+
+    private void apply(RowKey key, String value, Map<JobId, JobProgress> progress) {
+        Optional<JobId> id = FleetRows.jobOf(key);
+        if (id.isEmpty()) {
+            return;
+        }
+        if (FleetRows.isCancellation(key)) {
+            scheduler.cancel(id.get(), clock.nowMillis());
+            return;
+        }
+        Optional<JobDefinition> job = decoded(key, () -> JobDocuments.DEFINITION.decode(value));
+        if (job.isEmpty()) {
+            return;
+        }
+        long now = clock.nowMillis();
+        long age =
+                scheduling ? 0 : clock.epochMillis().getAsLong() - job.get().acceptedEpochMillis();
+        scheduler.addJob(
+                job.get(),
+                Optional.ofNullable(progress.get(id.get())),
+                now - Math.max(0, Math.min(MAX_AGE_MILLIS, age)),
+                now);
+    }
+
+    private static <T> Optional<T> decoded(RowKey key, java.util.function.Supplier<T> decode) {
+        try {
+            return Optional.of(decode.get());
+        } catch (QuetzalscaleException e) {
+            Logger.error("event=row_ignored key={} cause=\"{}\"", key, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void followJobs(long version) {
+        if (ended) {
+            return;
+        }
+        context.table()
+                .after(FleetRows.JOBS, version, FEED_WAIT_MILLIS)
+                .whenComplete(
+                        (changes, failure) -> {
+                            if (ended) {
+                                return;
+                            }
+                            if (failure == null) {
+                                changes.rows().forEach(this::changed);
+                                planSoon();
+                                followJobs(changes.version());
+                            } else if (isHistoryLost(failure)) {
+                                rereadJobs();
+                            } else {
+                                clock.after(RETRY_MILLIS, () -> followJobs(version));
+                            }
+                        });
+    }
+
+    private void changed(ChangedRow row) {
+        row.value().ifPresent(value -> apply(row.key(), value, Map.of()));
+    }
+
+    private void rereadJobs() {
+        if (ended) {
+            return;
+        }
+        context.table()
+                .snapshot(FleetRows.JOBS_PREFIX)
+                .whenComplete(
+                        (jobs, failure) -> {
+                            if (failure != null) {
+                                clock.after(RETRY_MILLIS, this::rereadJobs);
+                                return;
+                            }
+                            jobs.rows().forEach(row -> apply(row.key(), row.value(), Map.of()));
+                            planSoon();
+                            followJobs(jobs.version());
+                        });
+    }
+
+    private void readWorkers() {
+        if (ended) {
+            return;
+        }
+        context.table()
+                .snapshot(context.workers().prefix())
+                .whenComplete(
+                        (rows, failure) -> {
+                            if (failure != null) {
+                                clock.after(RETRY_MILLIS, this::readWorkers);
+                                return;
+                            }
+                            Set<WorkerId> listed = new HashSet<>();
+                            rows.rows().forEach(row -> worker(row.key(), row.value(), listed));
+                            sessions.keySet().stream()
+                                    .filter(id -> !listed.contains(id))
+                                    .toList()
+                                    .forEach(this::unlist);
+                            clock.after(DIRECTORY_MILLIS, () -> followWorkers(rows.version()));
+                        });
+    }
+
+    private void followWorkers(long version) {
+        if (ended) {
+            return;
+        }
+        context.table()
+                .after(context.workers().table(), version, 0)
+                .whenComplete(
+                        (changes, failure) -> {
+                            if (failure != null && isHistoryLost(failure)) {
+                                readWorkers();
+                                return;
+                            }
+                            long next = version;
+                            if (failure == null) {
+                                changes.rows().forEach(this::workerChanged);
+                                next = changes.version();
+                            }
+                            long from = next;
+                            clock.after(DIRECTORY_MILLIS, () -> followWorkers(from));
+                        });
+    }
+
+    private void workerChanged(ChangedRow row) {
+        if (row.value().isPresent()) {
+            worker(row.key(), row.value().get(), new HashSet<>());
+            return;
+        }
+        context.workers().idOf(row.key()).ifPresent(this::unlist);
+    }
+
+    private void worker(RowKey key, String value, Set<WorkerId> listed) {
+        Optional<String> name = context.workers().nameOf(key);
+        if (name.isEmpty()) {
+            return;
+        }
+        Optional<WorkerEntry> entry =
+                decoded(key, () -> context.workers().codec().apply(name.get(), value));
+        if (entry.isEmpty()) {
+            return;
+        }
+        WorkerId id = entry.get().id();
+        listed.add(id);
+        scheduler.listed(entry.get(), clock.nowMillis());
+        WorkerSession session = sessions.get(id);
+        if (session != null && !session.isClosed()) {
+            session.update(entry.get());
+            return;
+        }
+        Logger.info(
+                "event=worker_listed worker={} pool={} draining={}",
+                id,
+                entry.get().pool(),
+                entry.get().draining());
+        WorkerSession opened =
+                new WorkerSession(
+                        this,
+                        context.calls(),
+                        clock,
+                        entry.get(),
+                        fence(),
+                        takenMillis + WorkerSession.leaseBoundMillis());
+        sessions.put(id, opened);
+        opened.start();
+    }
+
+    private void unlist(WorkerId id) {
+        WorkerSession session = sessions.get(id);
+        if (session != null && !session.isClosed()) {
+            Logger.info("event=worker_unlisted worker={}", id);
+            session.unlisted();
+            scheduler.unlisted(id);
+        }
+    }
+
+    private static boolean isHistoryLost(Throwable failure) {
+        return QuetzalscaleException.from(failure).kind() == ErrorKind.REVISION_TOO_OLD;
+    }
+
+    private void planRegularly() {
+        if (ended) {
+            return;
+        }
+        plan();
+        clock.after(PLAN_INTERVAL_MILLIS, this::planRegularly);
+    }
+
+    private void plan() {
+        planPending = false;
+        if (ended) {
+            return;
+        }
+        long now = clock.nowMillis();
+        if (now - takenMillis >= WorkerSession.leaseBoundMillis() || scheduler.allWorkersOpen()) {
+            scheduler.releaseInherited();
+        }
+        scheduler.plan(now, clock.epochMillis().getAsLong());
+        recorder.flush();
+    }
+
+    private void publishRegularly() {
+        if (ended) {
+            return;
+        }
+        ObjectNode counts = JsonNodeFactory.instance.objectNode();
+        scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
+        String text = counts.toString();
+        if (!text.equals(published)) {
+            published = text;
+            context.table()
+                    .commit(
+                            Transaction.builder()
+                                    .require(lease.fence())
+                                    .put(FleetRows.WAITING, text)
+                                    .build())
+                    .whenComplete(
+                            (result, failure) -> {
+                                if (failure != null) {
+                                    published = "";
+                                }
+                            });
+        }
+        clock.after(PUBLISH_MILLIS, this::publishRegularly);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyFollower.java
@@ -0,0 +1,185 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.instance.WaveRequest;
+import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Changes;
+import org.quetzalscale.core.table.FeedTable;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.RowSnapshot;
+import org.tinylog.Logger;
+
+/** Follows what operators write: the configuration, whose version only rises, and waves. */
+public final class PolicyFollower {
+    // A feed that went silent is noticed after this time and the call's margin, so that a change
+    // is in force within two seconds all the same.
+    private static final int FEED_WAIT_MILLIS = 1_000;
+    private static final int RETRY_MILLIS = 100;
+
+    private final FeedTable table;
+    private final LoopClock clock;
+    private final OperatorRows rows;
+    private final List<Consumer<FleetPolicy>> listeners = new ArrayList<>();
+    private final SortedMap<Long, ReceivedWave> waves = new TreeMap<>();
+    private FleetPolicy current;
+    private long confirmedMillis;
+    private boolean stopped;
+    private boolean storeAway;
+
+    /**
+     * Where operators write, and how.
+     *
+     * @param table first segment of the rows' keys
+     * @param prefix what all keys begin with
+     * @param configKey the row of the configuration
+     * @param wavePrefix what the keys of waves begin with
+     */
+    public record OperatorRows(
+            String table,
+            String prefix,
+            RowKey configKey,
+            String wavePrefix,
+            Function<String, FleetPolicy> policyCodec,
+            Function<String, WaveRequest> waveCodec) {}
+
+    /** A wave with the time of its arrival. */
+    public record ReceivedWave(WaveRequest request, long receivedMillis) {}
+
+    /** Creates a follower that knows nothing yet. */
+    public PolicyFollower(FeedTable table, LoopClock clock, OperatorRows rows) {
+        this.table = table;
+        this.clock = clock;
+        this.rows = rows;
+    }
+
+    /** Begins to follow. */
+    public void start() {
+        load();
+    }
+
+    /** Ends following. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** The newest configuration seen; empty until the first one is read. */
+    public Optional<FleetPolicy> current() {
+        return Optional.ofNullable(current);
+    }
+
+    /** When the store last confirmed that there is no newer configuration. */
+    public long confirmedMillis() {
+        return confirmedMillis;
+    }
+
+    /** The waves that operators asked for. */
+    public SortedMap<Long, ReceivedWave> waves() {
+        return waves;
+    }
+
+    /** Calls the listener with each newer configuration. */
+    public void listen(Consumer<FleetPolicy> listener) {
+        listeners.add(listener);
+    }
+
+    private void load() {
+        if (stopped) {
+            return;
+        }
+        table.snapshot(rows.prefix()).whenComplete(this::loaded);
+    }
+
+    private void loaded(RowSnapshot snapshot, Throwable failure) {
+        if (failure != null) {
+            retry(failure, this::load);
+            return;
+        }
+        confirmed();
+        snapshot.rows().forEach(row -> apply(row.key(), Optional.of(row.value())));
+        follow(snapshot.version());
+    }
+
+    private void follow(long version) {
+        if (stopped) {
+            return;
+        }
+        table.after(rows.table(), version, FEED_WAIT_MILLIS)
+                .whenComplete((changes, failure) -> followed(version, changes, failure));
+    }
+
+    private void followed(long version, Changes changes, Throwable failure) {
+        if (failure == null) {
+            confirmed();
+            for (ChangedRow row : changes.rows()) {
+                apply(row.key(), row.value());
+            }
+            follow(changes.version());
+            return;
+        }
+        boolean historyLost =
+                QuetzalscaleException.from(failure).kind() == ErrorKind.REVISION_TOO_OLD;
+        retry(failure, historyLost ? this::load : () -> follow(version));
+    }
+
+    private void confirmed() {
+        confirmedMillis = clock.nowMillis();
+        if (storeAway) {
+            storeAway = false;
+            Logger.info("event=store_back reader=policy");
+        }
+    }
+
+    private void retry(Throwable failure, Runnable action) {
+        if (!storeAway) {
+            storeAway = true;
+            Logger.warn("event=store_lost reader=policy cause=\"{}\"", failure.getMessage());
+        }
+        clock.after(RETRY_MILLIS, action);
+    }
+
+    private void apply(RowKey key, Optional<String> value) {
+        if (value.isEmpty()) {
+            return;
+        }
+        try {
+            if (key.equals(rows.configKey())) {
+                accept(rows.policyCodec().apply(value.get()));
+            } else if (key.value().startsWith(rows.wavePrefix())) {
+                WaveRequest wave = rows.waveCodec().apply(value.get());
+                waves.putIfAbsent(wave.number(), new ReceivedWave(wave, clock.nowMillis()));
+                Logger.info(
+                        "event=wave_received wave={} instances={} max_down={} duration_ms={}",
+                        wave.number(),
+                        wave.instances().size(),
+                        wave.maxDown(),
+                        wave.durationMillis());
+            }
+        } catch (RuntimeException e) {
+            Logger.error("event=row_ignored key={} cause=\"{}\"", key, e.getMessage());
+        }
+    }
+
+    private void accept(FleetPolicy policy) {
+        if (current != null && policy.version() <= current.version()) {
+            return;
+        }
+        current = policy;
+        Logger.info(
+                "event=policy version={} routes={} pools={} organisations={} keys={}",
+                policy.version(),
+                policy.routes().size(),
+                policy.pools().size(),
+                policy.organisations().size(),
+                policy.keys().size());
+        listeners.forEach(listener -> listener.accept(policy));
+    }
+}
--- a/daemon/src/main/java/org/quetzalscale/daemon/logging/Logs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/logging/Logs.java
@@ -7,6 +7,14 @@
 public final class Logs {
     private Logs() {}
 
+    /** Sets level and format and writes to standard output; as {@link #configure(Settings)}. */
+    public static void toStandardOutput(String level, String format) {
+        Configuration.set("level", level);
+        Configuration.set("writer", "structured");
+        Configuration.set("writer.layout", format);
+        Configuration.set("writer.stream", "stdout");
+    }
+
     /** Sets level and format; has an effect only before the first log entry of the process. */
     public static void configure(Settings settings) {
         Configuration.set("level", settings.logLevel());
--- a/daemon/src/main/java/org/quetzalscale/daemon/logging/StructuredWriter.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/logging/StructuredWriter.java
@@ -10,11 +10,12 @@
 import org.tinylog.writers.AbstractFormatPatternWriter;
 
 /**
- * Writes each log entry to the standard error stream as one line: a JSON object, or key=value pairs
- * with quoted values. tinylog creates it for {@code writer = structured}.
+ * Writes each log entry to a standard stream as one line: a JSON object, or key=value pairs with
+ * quoted values. tinylog creates it for {@code writer = structured}.
  */
 public final class StructuredWriter extends AbstractFormatPatternWriter {
     private static final String TEXT = "text";
+    private static final String STDOUT = "stdout";
 
     /** Tells tinylog which values to collect for each entry; the line is not made from it. */
     private static final Map<String, String> REQUIRED_VALUES =
@@ -26,10 +27,11 @@
     /**
      * Creates a writer.
      *
-     * @param properties the properties of the writer; {@code layout} is json or text
+     * @param properties the properties of the writer; {@code layout} is json or text, {@code
+     *     stream} is stdout or stderr
      */
     public StructuredWriter(Map<String, String> properties) {
-        this(properties, System.err);
+        this(properties, STDOUT.equals(properties.get("stream")) ? System.out : System.err);
     }
 
     StructuredWriter(Map<String, String> properties, PrintStream stream) {
--- a/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
+++ b/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
@@ -21,17 +21,30 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 
 /** Serves the calls of one connection one after the other. */
 final class HttpServerConnection extends ChannelDuplexHandler {
     private final HttpHandler handler;
+    private final BooleanSupplier draining;
     private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
     private boolean busy;
 
-    HttpServerConnection(HttpHandler handler) {
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param draining whether connections end with their next answer
+     */
+    HttpServerConnection(HttpHandler handler, BooleanSupplier draining) {
         this.handler = handler;
+        this.draining = draining;
+    }
+
+    /** Whether no call is being served or waits to be. */
+    boolean isIdle() {
+        return !busy && waiting.isEmpty();
     }
 
     @Override
@@ -85,7 +98,8 @@
                                         () -> {
                                             HttpReply sent =
                                                     failure == null ? value : errorReply(failure);
-                                            write(context, sent, keepAlive);
+                                            boolean last = !keepAlive || draining.getAsBoolean();
+                                            write(context, sent, !last);
                                         }));
     }
 
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
@@ -27,7 +27,8 @@
  * An HTTP client for small messages to one address, with connections that are kept and reused.
  *
  * <p>Each call has a time limit; when it passes, the connection is closed, so that a connection
- * that went silent is not used again.
+ * that went silent is not used again. The connections that are kept are closed with it: whatever
+ * lost track of one connection may have lost track of those that were opened with it.
  */
 public final class JsonHttpClient {
     private static final int MAX_REPLY_BYTES = 64 << 20;
@@ -146,7 +147,9 @@
                                 if (!streaming) {
                                     channel.pipeline()
                                             .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES))
-                                            .addLast(new ReplyReceiver(idle::push));
+                                            .addLast(
+                                                    new ReplyReceiver(
+                                                            idle::push, JsonHttpClient.this::stop));
                                 }
                             }
                         })
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -23,6 +23,7 @@
     private final HttpHandler handler;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel listener;
+    private volatile boolean draining;
 
     /**
      * Creates a server that does not listen yet.
@@ -51,6 +52,34 @@
         return TcpListeners.port(listener);
     }
 
+    /** From now on each connection ends with its next answer. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Stops listening, and closes the connections on which no call is being served. */
+    public void closeIdle() {
+        listener.close();
+        for (Channel connection : connections) {
+            connection
+                    .eventLoop()
+                    .execute(
+                            () -> {
+                                if (connection
+                                        .pipeline()
+                                        .get(HttpServerConnection.class)
+                                        .isIdle()) {
+                                    connection.close();
+                                }
+                            });
+        }
+    }
+
+    /** Whether any connection is open. */
+    public boolean hasConnections() {
+        return !connections.isEmpty();
+    }
+
     /** Stops listening and closes all connections. */
     public void stop() {
         listener.close().syncUninterruptibly();
@@ -63,6 +92,6 @@
                 .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS))
                 .addLast(new HttpServerCodec())
                 .addLast(new HttpObjectAggregator(maxBodyBytes))
-                .addLast(new HttpServerConnection(handler));
+                .addLast(new HttpServerConnection(handler, () -> draining));
     }
 }
--- a/net/src/main/java/org/quetzalscale/net/http/ReplyReceiver.java
+++ b/net/src/main/java/org/quetzalscale/net/http/ReplyReceiver.java
@@ -17,11 +17,19 @@
 /** Completes the call in flight of one client connection. */
 final class ReplyReceiver extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Consumer<Channel> keep;
+    private final Runnable onTimeout;
     private CompletableFuture<HttpReply> pending;
     private ScheduledFuture<?> timeout;
 
-    ReplyReceiver(Consumer<Channel> keep) {
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param keep takes the connection after a whole answer
+     * @param onTimeout runs when a call was not answered in time
+     */
+    ReplyReceiver(Consumer<Channel> keep, Runnable onTimeout) {
         this.keep = keep;
+        this.onTimeout = onTimeout;
     }
 
     /** Must run on the connection's event loop, before the call is written. */
@@ -38,6 +46,7 @@
                                 () -> {
                                     fail("no answer within " + timeoutMillis + " ms");
                                     channel.close();
+                                    onTimeout.run();
                                 },
                                 timeoutMillis,
                                 TimeUnit.MILLISECONDS);
