Maintain waves through the owner of the fleet

Change: MaintenancePlanner drains, orders and follows the instances of a wave; MaintenanceRounds calls the platform and reports.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -165,6 +165,15 @@
                 && fleet.workers.values().stream().allMatch(worker -> worker.open);
     }
 
+    /** The worker's instance was taken down: nothing runs on it, and it does not come back. */
+    public void ended(WorkerId id, long nowMillis) {
+        WorkerState worker = fleet.workers.get(id);
+        if (worker != null) {
+            worker.listed = false;
+            emptied(id, nowMillis);
+        }
+    }
+
     /** Calls to the worker fail, or succeed again. */
     public void silent(WorkerId id, boolean silent) {
         WorkerState worker = fleet.workers.get(id);
@@ -297,9 +306,6 @@
 
     /** Stops a run, so that the task can be placed anew. */
     void stop(TrackedTask task, long nowMillis) {
-        if (task.isAtWork() || task.state == TrackedTask.State.RUNNING) {
-            task.evictedMillis = nowMillis;
-        }
         task.enter(TrackedTask.State.STOPPING, nowMillis);
         task.stopSentMillis = nowMillis;
         task.stopAnsweredMillis = 0;
@@ -458,9 +464,6 @@
         if (!running.checkpoint().isEmpty()) {
             task.checkpoint = running.checkpoint();
         }
-        if (task.isAtWork()) {
-            task.evictedMillis = 0;
-        }
     }
 
     private void releaseMissing(
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -84,6 +84,7 @@
         task.worker = null;
         task.percent = 0;
         task.pacePercent = 100;
+        task.evicted = false;
         task.stopSentMillis = 0;
         task.stopAnsweredMillis = 0;
         boolean ended = task.step.job.phase.isFinal();
--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -52,6 +52,9 @@
         if (task.step.definition.dataRack().filter(worker.entry.rack()::equals).isPresent()) {
             score += DATA_RACK_BONUS;
         }
+        if (task.step.definition.lasting()) {
+            score -= worker.tasksOf(task.step);
+        }
         if (worker.entry.id().equals(task.lastFailedOn)) {
             score -= FAILED_HERE_PENALTY;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -20,6 +20,8 @@
         DROPPED
     }
 
+    private static final int AT_WORK_PERCENT = 100;
+
     final TaskRef ref;
     final StepRun step;
     State state = State.WAITING;
@@ -39,8 +41,8 @@
     /** When the percentage last changed. */
     long progressedMillis;
 
-    /** When the task last stopped being at work through an order of the owner; 0 if at work. */
-    long evictedMillis;
+    /** Whether an order that ends the run is under way. */
+    boolean evicted;
 
     /** No start before this time. */
     long notBeforeMillis;
@@ -62,7 +64,7 @@
 
     /** Whether the task does its work, as a lasting task's users see it. */
     boolean isAtWork() {
-        return state == State.RUNNING && percent >= 100;
+        return state == State.RUNNING && percent >= AT_WORK_PERCENT && !evicted;
     }
 
     void enter(State next, long nowMillis) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -2,9 +2,11 @@
 
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.LongFunction;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.InstanceCalls;
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.WorkerCalls;
@@ -16,9 +18,35 @@
  * @param self this instance
  * @param calls calls to workers
  * @param workers where workers are listed
+ * @param instances calls for instances
  */
 public record FleetContext(
-        InstanceId self, LoopClock clock, FeedTable table, WorkerCalls calls, WorkerRows workers) {
+        InstanceId self,
+        LoopClock clock,
+        FeedTable table,
+        WorkerCalls calls,
+        WorkerRows workers,
+        InstanceCalls instances,
+        WaveStatusRows waveStatus,
+        Times times) {
+    /**
+     * Where operators read the state of waves.
+     *
+     * @param key the row of a wave
+     * @param text the row's text for a wave's number and whether it is completed
+     */
+    public record WaveStatusRows(
+            LongFunction<RowKey> key, BiFunction<Long, Boolean, String> text) {}
+
+    /**
+     * Times of the deployment, in milliseconds.
+     *
+     * @param ownerTurn least time between orders of two owners for one instance
+     * @param maintenance how long a maintenance takes
+     * @param move how long a move takes
+     */
+    public record Times(long ownerTurn, long maintenance, long move) {}
+
     /**
      * Where workers are listed.
      *
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -19,6 +19,9 @@
     /** Number of waiting jobs by queue. */
     static final RowKey WAITING = RowKey.of("load", SHARD, "waiting");
 
+    /** Instances that are maintained, by wave. */
+    static final String WAVES_PREFIX = "waves/" + SHARD + "/";
+
     private static final String CANCEL_SUFFIX = "/cancel";
 
     private FleetRows() {}
@@ -27,6 +30,10 @@
         return new RowKey(JOBS_PREFIX + id);
     }
 
+    static RowKey wave(long number) {
+        return new RowKey(WAVES_PREFIX + number);
+    }
+
     static RowKey cancellation(JobId id) {
         return new RowKey(JOBS_PREFIX + id + CANCEL_SUFFIX);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/MaintenanceRounds.java
@@ -0,0 +1,209 @@
+package org.quetzalscale.daemon.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.schedule.MaintenancePlanner;
+import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.Transaction;
+import org.quetzalscale.net.json.Json;
+import org.tinylog.Logger;
+
+/** An owner's rounds of maintenance: reads the list of instances, orders, and reports the waves. */
+final class MaintenanceRounds {
+    private static final long ROUND_MILLIS = 150;
+    private static final long LIST_MILLIS = 700;
+
+    private final FleetContext context;
+    private final LoopClock clock;
+    private final PolicyFollower policies;
+    private final Lease lease;
+    private final WorkerSession.Term term;
+    private final Map<WorkerId, WorkerSession> sessions;
+    private final Map<Long, MaintenancePlanner> planners = new LinkedHashMap<>();
+    private final Map<Long, String> reported = new HashMap<>();
+    private final long firstOrderMillis;
+    private Map<Long, Set<InstanceId>> recorded;
+    private boolean listing;
+    private long listedMillis = Long.MIN_VALUE / 2;
+
+    MaintenanceRounds(
+            FleetContext context,
+            PolicyFollower policies,
+            Lease lease,
+            WorkerSession.Term term,
+            Map<WorkerId, WorkerSession> sessions) {
+        this.context = context;
+        this.clock = context.clock();
+        this.policies = policies;
+        this.lease = lease;
+        this.term = term;
+        this.sessions = sessions;
+        this.firstOrderMillis = clock.nowMillis() + context.times().ownerTurn();
+    }
+
+    /** Reads what earlier owners recorded, and begins. */
+    void start() {
+        if (term.ended()) {
+            return;
+        }
+        context.table()
+                .scan(FleetRows.WAVES_PREFIX)
+                .whenComplete(
+                        (rows, failure) -> {
+                            if (failure != null) {
+                                clock.after(LIST_MILLIS, this::start);
+                                return;
+                            }
+                            recorded = decode(rows);
+                            round();
+                        });
+    }
+
+    private void round() {
+        if (term.ended()) {
+            return;
+        }
+        long now = clock.nowMillis();
+        policies.waves().forEach(this::open);
+        boolean open = planners.values().stream().anyMatch(planner -> !planner.isCompleted());
+        if (open && now - listedMillis >= LIST_MILLIS) {
+            list();
+        }
+        if (open && now >= firstOrderMillis) {
+            planners.values().forEach(this::order);
+        }
+        planners.values().forEach(this::report);
+        clock.after(ROUND_MILLIS, this::round);
+    }
+
+    private void open(long number, PolicyFollower.ReceivedWave wave) {
+        planners.computeIfAbsent(
+                number,
+                ignored ->
+                        new MaintenancePlanner(
+                                term.scheduler(),
+                                wave.request(),
+                                wave.receivedMillis(),
+                                recorded.getOrDefault(number, Set.of()),
+                                context.times().maintenance()));
+    }
+
+    private void list() {
+        if (listing) {
+            return;
+        }
+        listing = true;
+        long asked = clock.nowMillis();
+        listedMillis = asked;
+        context.instances()
+                .list()
+                .whenComplete(
+                        (list, failure) -> {
+                            listing = false;
+                            if (term.ended()) {
+                                return;
+                            }
+                            if (failure != null) {
+                                Logger.warn(
+                                        "event=instances_unknown cause=\"{}\"",
+                                        failure.getMessage());
+                                return;
+                            }
+                            take(list, asked);
+                        });
+    }
+
+    private void take(List<FleetInstance> list, long askedMillis) {
+        planners.values().stream()
+                .filter(planner -> !planner.isCompleted())
+                .forEach(planner -> planner.listed(list, askedMillis, clock.nowMillis()));
+    }
+
+    private void order(MaintenancePlanner planner) {
+        for (InstanceId id : planner.plan(clock.nowMillis())) {
+            context.instances()
+                    .maintain(id, planner.number(), lease.fence().version())
+                    .thenAccept(answer -> answered(planner, id, answer));
+        }
+    }
+
+    private void answered(MaintenancePlanner planner, InstanceId id, InstanceAnswer answer) {
+        Logger.info(
+                "event=maintenance wave={} instance={} answer={}", planner.number(), id, answer);
+        if (term.ended()) {
+            return;
+        }
+        if (answer == InstanceAnswer.FENCED) {
+            term.fenced(id.value());
+            return;
+        }
+        planner.answered(id, answer, clock.nowMillis()).ifPresent(this::close);
+        term.planSoon();
+    }
+
+    private void close(WorkerId worker) {
+        WorkerSession session = sessions.get(worker);
+        if (session != null) {
+            session.close();
+        }
+    }
+
+    /** Writes the state of a wave when it has changed. */
+    private void report(MaintenancePlanner planner) {
+        boolean completed = planner.isCompleted();
+        String done = doneText(planner);
+        if (done.equals(reported.get(planner.number()))) {
+            return;
+        }
+        reported.put(planner.number(), done);
+        Transaction transaction =
+                Transaction.builder()
+                        .require(lease.fence())
+                        .put(FleetRows.wave(planner.number()), done)
+                        .put(
+                                context.waveStatus().key().apply(planner.number()),
+                                context.waveStatus().text().apply(planner.number(), completed))
+                        .build();
+        context.table()
+                .commit(transaction)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure != null) {
+                                reported.remove(planner.number());
+                            } else if (completed) {
+                                Logger.info("event=wave_completed wave={}", planner.number());
+                            }
+                        });
+    }
+
+    private static String doneText(MaintenancePlanner planner) {
+        ArrayNode ids = JsonNodeFactory.instance.arrayNode();
+        planner.done().stream().sorted().forEach(id -> ids.add(id.value()));
+        return ids.toString();
+    }
+
+    private static Map<Long, Set<InstanceId>> decode(List<Row> rows) {
+        Map<Long, Set<InstanceId>> done = new HashMap<>();
+        for (Row row : rows) {
+            String number = row.key().value().substring(FleetRows.WAVES_PREFIX.length());
+            List<InstanceId> ids = new ArrayList<>();
+            Json.read(row.value(), JsonNode.class)
+                    .forEach(id -> ids.add(new InstanceId(id.asText())));
+            done.put(Long.parseLong(number), new HashSet<>(ids));
+        }
+        return done;
+    }
+}
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -84,12 +84,7 @@
             return;
         }
         endTerm();
-        term =
-                new OwnerTerm(
-                        context,
-                        lease.get(),
-                        policies.current().orElseThrow(),
-                        () -> fenced(version));
+        term = new OwnerTerm(context, policies, lease.get(), () -> fenced(version));
         term.start();
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -50,6 +50,7 @@
     private final Lease lease;
     private final FleetScheduler scheduler;
     private final ProgressRecorder recorder;
+    private final MaintenanceRounds maintenance;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final long takenMillis;
@@ -58,16 +59,21 @@
     private boolean planPending;
     private String published = "";
 
-    OwnerTerm(FleetContext context, Lease lease, FleetPolicy policy, Runnable onFenced) {
+    OwnerTerm(FleetContext context, PolicyFollower policies, Lease lease, Runnable onFenced) {
         this.context = context;
         this.clock = context.clock();
         this.lease = lease;
         this.onFenced = onFenced;
         this.takenMillis = clock.nowMillis();
-        this.scheduler = new FleetScheduler(policy, this, lease.generation() * RUNS_PER_GENERATION);
+        this.scheduler =
+                new FleetScheduler(
+                        policies.current().orElseThrow(),
+                        this,
+                        lease.generation() * RUNS_PER_GENERATION);
         this.recorder =
                 new ProgressRecorder(
                         context.table(), clock, lease.fence(), scheduler, sessions, onFenced);
+        this.maintenance = new MaintenanceRounds(context, policies, lease, this, sessions);
     }
 
     /** Reads jobs, then their progress, then workers. Progress is read after the jobs it is of. */
@@ -105,9 +111,9 @@
     }
 
     @Override
-    public void fenced(WorkerId worker) {
+    public void fenced(String by) {
         if (!ended) {
-            Logger.warn("event=fenced_by worker={} fence={}", worker, fence());
+            Logger.warn("event=fenced by={} fence={}", by, fence());
             onFenced.run();
         }
     }
@@ -189,6 +195,7 @@
         readWorkers();
         planRegularly();
         publishRegularly();
+        maintenance.start();
     }
 
     private void apply(RowKey key, String value, Map<JobId, JobProgress> progress) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -5,7 +5,6 @@
 import java.util.Queue;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
-import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.OrderAnswer;
@@ -31,8 +30,8 @@
         /** The scheduler has something new to decide on. */
         void planSoon();
 
-        /** A worker follows a newer owner. */
-        void fenced(WorkerId worker);
+        /** A worker or the platform follows a newer owner. */
+        void fenced(String by);
 
         /** Whether the term has ended. */
         boolean ended();
@@ -109,6 +108,11 @@
         listed = false;
     }
 
+    /** The worker has ended. */
+    void close() {
+        closed = true;
+    }
+
     boolean isClosed() {
         return closed;
     }
@@ -189,7 +193,7 @@
 
     private boolean isOver(OrderAnswer answer) {
         if (answer == OrderAnswer.FENCED) {
-            term.fenced(entry.id());
+            term.fenced(entry.id().value());
         }
         return term.ended() || closed;
     }
@@ -277,7 +281,7 @@
 
     private void failed(QuetzalscaleException error) {
         if (error.kind() == ErrorKind.LEASE_LOST) {
-            term.fenced(entry.id());
+            term.fenced(entry.id().value());
             return;
         }
         long now = clock.nowMillis();
