Tell an order that was carried out before from one that ends a worker

LOST: an end that is recorded but not acknowledged was counted as a failure by two owners.

Change: after an order the list of instances decides whether the worker is gone; recorded failures carry the newest run that they count; tasks on silent workers count as away.

Ruled out: a stale fence; the earlier owner's orders all came before the takeover.

--- a/core/src/main/java/org/quetzalscale/core/schedule/AvailabilityBudget.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/AvailabilityBudget.java
@@ -5,10 +5,14 @@
  * away at the same time than it permits. A task that is away for any other cause counts as well.
  */
 final class AvailabilityBudget {
-    private AvailabilityBudget() {}
+    private final FleetState fleet;
+
+    AvailabilityBudget(FleetState fleet) {
+        this.fleet = fleet;
+    }
 
     /** Whether all tasks of a worker may be ended at once now. */
-    static boolean permitsEmptying(WorkerState worker) {
+    boolean permitsEmptying(WorkerState worker) {
         for (TrackedTask task : worker.tasks.values()) {
             int budget = task.step.definition.maxUnavailable();
             if (budget > 0 && awayWithout(task.step, worker) > budget) {
@@ -19,29 +23,37 @@
     }
 
     /** Whether this task alone may be ended now. */
-    static boolean permitsStop(TrackedTask task) {
+    boolean permitsStop(TrackedTask task) {
         int budget = task.step.definition.maxUnavailable();
-        return budget == 0 || away(task.step) - (task.isAtWork() ? 0 : 1) + 1 <= budget;
+        if (budget == 0) {
+            return true;
+        }
+        int away = 1;
+        for (TrackedTask other : task.step.tasks) {
+            if (other != task && isAway(other)) {
+                away++;
+            }
+        }
+        return away <= budget;
     }
 
     /** How many tasks of the step are away when those of the worker are. */
-    private static int awayWithout(StepRun step, WorkerState worker) {
+    private int awayWithout(StepRun step, WorkerState worker) {
         int away = 0;
         for (TrackedTask task : step.tasks) {
-            if (!task.isAtWork() || worker.entry.id().equals(task.worker)) {
+            if (isAway(task) || worker.entry.id().equals(task.worker)) {
                 away++;
             }
         }
         return away;
     }
 
-    private static int away(StepRun step) {
-        int away = 0;
-        for (TrackedTask task : step.tasks) {
-            if (!task.isAtWork()) {
-                away++;
-            }
+    /** A task on a silent worker may have ended with it. */
+    private boolean isAway(TrackedTask task) {
+        if (!task.isAtWork()) {
+            return true;
         }
-        return away;
+        WorkerState worker = fleet.workers.get(task.worker);
+        return worker == null || worker.silent;
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -355,7 +355,8 @@
             task.checkpoint = end.checkpoint();
             changed.add(task.step.job);
         }
-        if (end.end() == RunEnd.FAILED) {
+        if (end.end() == RunEnd.FAILED && end.run() > task.lastFailedRun) {
+            task.lastFailedRun = end.run();
             failed(task, worker, nowMillis);
         }
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -99,22 +99,56 @@
      * Takes the list of all instances.
      *
      * @param askedMillis when the list was asked for
+     * @return workers that have ended with their instances
      */
-    public void listed(List<FleetInstance> list, long askedMillis, long nowMillis) {
+    public List<WorkerId> listed(List<FleetInstance> list, long askedMillis, long nowMillis) {
         Map<InstanceId, FleetInstance> byId = new HashMap<>();
         list.forEach(instance -> byId.put(instance.id(), instance));
         instances = byId;
+        List<WorkerId> ended = new ArrayList<>();
         for (MaintenanceItem item : items.values()) {
             FleetInstance instance = byId.get(item.instance);
             if (instance == null) {
                 cordon(item, false);
                 item.enter(MaintenanceItem.State.DONE, nowMillis);
-            } else if (item.state == MaintenanceItem.State.DOWN
-                    && instance.up()
-                    && askedMillis >= item.sinceMillis + downMillis) {
+            } else if (item.state == MaintenanceItem.State.DOWN) {
+                followDown(item, instance, askedMillis, nowMillis).ifPresent(ended::add);
+            }
+        }
+        return ended;
+    }
+
+    /** Whether a list is needed to know what became of an order. */
+    public boolean awaitsList() {
+        return items.values().stream()
+                .anyMatch(item -> item.state == MaintenanceItem.State.DOWN && item.worker != null);
+    }
+
+    /**
+     * An order is answered alike when an earlier owner's order had been carried out before; then
+     * the worker is still there, and with it all that runs on it.
+     */
+    private Optional<WorkerId> followDown(
+            MaintenanceItem item, FleetInstance instance, long askedMillis, long nowMillis) {
+        if (askedMillis < item.sinceMillis) {
+            return Optional.empty();
+        }
+        Optional<WorkerId> ended = Optional.empty();
+        if (item.worker != null) {
+            if (instance.up() && instance.worker().filter(item.worker::equals).isPresent()) {
+                cordon(item, false);
+                markEvicted(item, false);
                 item.enter(MaintenanceItem.State.DONE, nowMillis);
+                return Optional.empty();
             }
+            ended = Optional.of(item.worker);
+            scheduler.ended(item.worker, nowMillis);
+            item.worker = null;
+        }
+        if (instance.up() && askedMillis >= item.sinceMillis + downMillis) {
+            item.enter(MaintenanceItem.State.DONE, nowMillis);
         }
+        return ended;
     }
 
     /** The instances whose maintenance is to be ordered now. */
@@ -145,22 +179,12 @@
         return orders;
     }
 
-    /**
-     * Takes the answer to an order.
-     *
-     * @return the worker that has ended with its instance, if one has
-     */
-    public Optional<WorkerId> answered(InstanceId id, InstanceAnswer answer, long nowMillis) {
+    /** Takes the answer to an order. */
+    public void answered(InstanceId id, InstanceAnswer answer, long nowMillis) {
         MaintenanceItem item = items.get(id);
         item.answerAwaited = false;
         switch (answer) {
-            case DONE -> {
-                item.enter(MaintenanceItem.State.DOWN, nowMillis);
-                if (item.worker != null) {
-                    scheduler.ended(item.worker, nowMillis);
-                }
-                return Optional.ofNullable(item.worker);
-            }
+            case DONE -> item.enter(MaintenanceItem.State.DOWN, nowMillis);
             case BUSY -> {
                 cordon(item, false);
                 markEvicted(item, false);
@@ -173,7 +197,6 @@
             }
             default -> item.notBeforeMillis = nowMillis + RETRY_MILLIS;
         }
-        return Optional.empty();
     }
 
     private void beginDrains(long nowMillis) {
@@ -246,7 +269,7 @@
         if (shortTasks && nowMillis - item.sinceMillis < MAX_DRAIN_MILLIS) {
             return false;
         }
-        if (AvailabilityBudget.permitsEmptying(worker)) {
+        if (budget().permitsEmptying(worker)) {
             return true;
         }
         evictCrowded(worker, nowMillis);
@@ -260,7 +283,7 @@
             if (budget > 0
                     && task.isAtWork()
                     && worker.tasksOf(task.step) > budget
-                    && AvailabilityBudget.permitsStop(task)) {
+                    && budget().permitsStop(task)) {
                 scheduler.stop(task, nowMillis);
             }
         }
@@ -281,6 +304,10 @@
         }
     }
 
+    private AvailabilityBudget budget() {
+        return new AvailabilityBudget(scheduler.fleet());
+    }
+
     private double busyShare(MaintenanceItem item) {
         FleetInstance instance = instances.get(item.instance);
         return instance == null ? 0 : worker(instance).map(w -> 1 - w.freeShare()).orElse(-1.0);
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -61,7 +61,7 @@
         progress.done().stream()
                 .filter(index -> index < tasks.size())
                 .forEach(index -> markDone(tasks.get(index), nowMillis));
-        progress.failures().forEach((index, count) -> tasks.get(index).failures = count);
+        progress.failures().forEach((index, failures) -> tasks.get(index).restore(failures));
         progress.checkpoints().forEach((index, text) -> tasks.get(index).checkpoint = text);
         if (done > 0 || !progress.failures().isEmpty()) {
             markBegun();
@@ -70,7 +70,7 @@
 
     StepProgress progress() {
         BitSet finished = new BitSet(tasks.size());
-        Map<Integer, Integer> failures = new HashMap<>();
+        Map<Integer, StepProgress.Failures> failures = new HashMap<>();
         Map<Integer, String> checkpoints = new HashMap<>();
         for (TrackedTask task : tasks) {
             int index = task.ref.index();
@@ -79,7 +79,7 @@
                 continue;
             }
             if (task.failures > 0) {
-                failures.put(index, task.failures);
+                failures.put(index, new StepProgress.Failures(task.failures, task.lastFailedRun));
             }
             if (!task.checkpoint.isEmpty()) {
                 checkpoints.put(index, task.checkpoint);
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.core.schedule;
 
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.task.StepProgress;
 import org.quetzalscale.core.task.TaskRef;
 
 /** A task with what its owner knows of its runs. */
@@ -30,6 +31,7 @@
     long run;
     String checkpoint = "";
     int failures;
+    long lastFailedRun;
     int percent;
     int pacePercent = 100;
     long load;
@@ -57,6 +59,13 @@
         this.step = step;
     }
 
+    /** Takes over what an earlier owner counted. */
+    void restore(StepProgress.Failures recorded) {
+        failures = recorded.count();
+        lastFailedRun = recorded.lastRun();
+        run = Math.max(run, lastFailedRun);
+    }
+
     /** Whether the task takes room on a worker. */
     boolean occupies() {
         return state == State.ORDERED || state == State.RUNNING || state == State.STOPPING;
--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -0,0 +1,205 @@
+package org.quetzalscale.core.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.instance.WaveRequest;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.OrderAnswer;
+import org.quetzalscale.core.task.RunningTask;
+import org.quetzalscale.core.task.WorkerReport;
+
+final class MaintenancePlannerTest {
+    private static final long DOWN_MILLIS = 2_000;
+    private static final int WORKERS = 6;
+
+    private final RecordedOrders orders = new RecordedOrders();
+    private final FleetScheduler scheduler = new FleetScheduler(Samples.policy(0), orders, 0);
+    private long now = 1_000;
+
+    private static InstanceId instance(int number) {
+        return new InstanceId("m-" + number);
+    }
+
+    private static FleetInstance up(int number, int worker) {
+        return new FleetInstance(
+                instance(number), Samples.POOL, true, "", Optional.of(Samples.workerId(worker)));
+    }
+
+    private static FleetInstance down(int number) {
+        return new FleetInstance(instance(number), Samples.POOL, false, "", Optional.empty());
+    }
+
+    private MaintenancePlanner planner(int maxDown, Integer... numbers) {
+        for (int worker = 1; worker <= WORKERS; worker++) {
+            scheduler.listed(Samples.worker(worker), now);
+            report(worker);
+        }
+        List<InstanceId> ids =
+                List.of(numbers).stream().map(MaintenancePlannerTest::instance).toList();
+        return new MaintenancePlanner(
+                scheduler, new WaveRequest(1, ids, 60_000, maxDown), now, Set.of(), DOWN_MILLIS);
+    }
+
+    private void report(int worker, RunningTask... running) {
+        scheduler.reported(
+                Samples.workerId(worker),
+                new WorkerReport(now, 1, List.of(running), List.of()),
+                List.of(),
+                now,
+                now);
+    }
+
+    private List<FleetInstance> allUp() {
+        List<FleetInstance> list = new ArrayList<>();
+        for (int number = 1; number <= WORKERS; number++) {
+            list.add(up(number, number));
+        }
+        return list;
+    }
+
+    /** Starts a job's tasks and reports them all at work. */
+    private void work(JobDefinition job) {
+        scheduler.addJob(job, Optional.empty(), now, now);
+        scheduler.plan(now, 0);
+        for (RecordedOrders.Start start : orders.starts) {
+            scheduler.startAnswered(
+                    start.worker(),
+                    start.order().task(),
+                    start.order().run(),
+                    OrderAnswer.ACCEPTED,
+                    now);
+        }
+        for (int worker = 1; worker <= WORKERS; worker++) {
+            WorkerId id = Samples.workerId(worker);
+            report(
+                    worker,
+                    orders.starts.stream()
+                            .filter(start -> start.worker().equals(id))
+                            .map(
+                                    start ->
+                                            new RunningTask(
+                                                    start.order().task(),
+                                                    start.order().run(),
+                                                    "",
+                                                    100,
+                                                    0))
+                            .toArray(RunningTask[]::new));
+        }
+    }
+
+    @Nested
+    final class Limits {
+        /** Guards against more instances in maintenance than the wave permits. */
+        @Test
+        void keepNoMoreDownThanTheWavePermits() {
+            MaintenancePlanner planner = planner(1, 1, 2, 3);
+            planner.listed(allUp(), now, now);
+
+            assertThat(planner.plan(now)).hasSize(1);
+            assertThat(planner.plan(now)).isEmpty();
+        }
+
+        /** Guards against two tasks of a step that are taken away by two orders at once. */
+        @Test
+        void keepLastingTasksWithinTheirBudget() {
+            MaintenancePlanner planner = planner(6, 1, 2, 3, 4, 5, 6);
+            work(Samples.job(1, Samples.lasting(WORKERS, 1, 1)));
+            planner.listed(allUp(), now, now);
+
+            assertThat(planner.plan(now)).hasSize(1);
+        }
+
+        /** Guards against an order while a task of the step may have ended with its worker. */
+        @Test
+        void countTasksOnSilentWorkersAsAway() {
+            MaintenancePlanner planner = planner(1, 1);
+            work(Samples.job(1, Samples.lasting(WORKERS, 1, 1)));
+            planner.listed(allUp(), now, now);
+            scheduler.silent(Samples.workerId(2), true);
+
+            assertThat(planner.plan(now)).isEmpty();
+        }
+
+        /** Guards against one order that takes two tasks of a step from the same worker. */
+        @Test
+        void countAllTasksOfAStepOnTheWorker() {
+            MaintenancePlanner planner = planner(1, 1);
+            work(Samples.job(1, Samples.lasting(2 * WORKERS, 1, 1)));
+            planner.listed(allUp(), now, now);
+
+            assertThat(planner.plan(now)).isEmpty();
+            assertThat(orders.stops).as("one of the two is moved first").hasSize(1);
+        }
+    }
+
+    @Nested
+    final class Answers {
+        /**
+         * Guards against a second run of tasks whose worker goes on: an order for an instance that
+         * an earlier owner maintained is answered as done, and ends nothing.
+         */
+        @Test
+        void endNothingWhereTheWorkerIsStillThere() {
+            MaintenancePlanner planner = planner(1, 1);
+            work(Samples.job(1, Samples.step(WORKERS, 1)));
+            planner.listed(allUp(), now, now);
+            int started = orders.starts.size();
+            assertThat(planner.plan(now)).as("short tasks may end first").isEmpty();
+            now += 3_000;
+            InstanceId id = planner.plan(now).get(0);
+
+            planner.answered(id, InstanceAnswer.DONE, now);
+            planner.listed(allUp(), now, now);
+            scheduler.plan(now, 0);
+
+            assertThat(orders.starts).hasSize(started);
+            assertThat(planner.isCompleted()).isTrue();
+        }
+
+        /** Guards against tasks that wait for a lease although their worker has ended. */
+        @Test
+        void freeTheTasksOfTheWorkerThatEnded() {
+            MaintenancePlanner planner = planner(1, 1);
+            work(Samples.job(1, Samples.lasting(WORKERS, 1, 1)));
+            planner.listed(allUp(), now, now);
+            int started = orders.starts.size();
+            InstanceId id = planner.plan(now).get(0);
+
+            planner.answered(id, InstanceAnswer.DONE, now);
+            List<FleetInstance> list = allUp();
+            list.set(0, down(1));
+            assertThat(planner.listed(list, now, now)).containsExactly(Samples.workerId(1));
+            scheduler.plan(now, 0);
+
+            assertThat(orders.starts).hasSize(started + 1);
+            assertThat(planner.isCompleted()).isFalse();
+        }
+
+        /** Guards against a wave that is reported as completed before its instances are back. */
+        @Test
+        void completeTheWaveWhenTheInstanceIsBack() {
+            MaintenancePlanner planner = planner(1, 1);
+            planner.listed(allUp(), now, now);
+            planner.answered(planner.plan(now).get(0), InstanceAnswer.DONE, now);
+            List<FleetInstance> list = allUp();
+            list.set(0, down(1));
+            planner.listed(list, now, now);
+            assertThat(planner.isCompleted()).isFalse();
+
+            now += DOWN_MILLIS;
+            list.set(0, up(1, 9));
+            planner.listed(list, now, now);
+            assertThat(planner.isCompleted()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
@@ -0,0 +1,115 @@
+package org.quetzalscale.core.schedule;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.OrganisationId;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.id.ZoneId;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.Recurrence;
+import org.quetzalscale.core.task.StepDefinition;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerEntry;
+
+/** Jobs, workers and configurations for tests of the scheduler. */
+final class Samples {
+    static final PoolId POOL = new PoolId("lab");
+    static final QueueId QUEUE = new QueueId("quick");
+    static final OrganisationId ORGANISATION = new OrganisationId("coop");
+    static final Resources WORKER_CAPACITY = new Resources(16, 32_768, 0, 0);
+    static final int MAX_ATTEMPTS = 3;
+
+    private Samples() {}
+
+    static FleetPolicy policy(double capCores) {
+        return new FleetPolicy(
+                1,
+                List.of(),
+                Map.of(QUEUE, new QueuePolicy(QUEUE, POOL, 0, MAX_ATTEMPTS, 1.6, 600, false)),
+                Map.of(POOL, new PoolPolicy(POOL, false)),
+                Map.of(
+                        ORGANISATION,
+                        new OrganisationPolicy(ORGANISATION, 1, new Resources(capCores, 0, 0, 0))),
+                Map.of());
+    }
+
+    static WorkerId workerId(int number) {
+        return new WorkerId("i-" + number);
+    }
+
+    static WorkerEntry worker(int number) {
+        return new WorkerEntry(
+                workerId(number),
+                POOL,
+                new ZoneId("zone-a"),
+                new InetSocketAddress("10.0.0." + number, 8080),
+                WORKER_CAPACITY,
+                List.of("a", "rack-" + number),
+                "rack-" + number,
+                false,
+                0,
+                1);
+    }
+
+    static JobId jobId(int number) {
+        return new JobId(String.format("%016x", number));
+    }
+
+    static JobDefinition job(int number, StepDefinition... steps) {
+        return new JobDefinition(
+                jobId(number),
+                QUEUE,
+                POOL,
+                Optional.of(ORGANISATION),
+                0,
+                "spec",
+                List.of(steps),
+                Recurrence.NONE);
+    }
+
+    static TaskRef task(int job, int step, int index) {
+        return new TaskRef(jobId(job), 0, step, index);
+    }
+
+    static StepDefinition step(int count, double cores, Integer... after) {
+        return new StepDefinition(
+                count,
+                new Resources(cores, 100, 0, 0),
+                500,
+                List.of(after),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                0,
+                false,
+                0);
+    }
+
+    static StepDefinition lasting(int count, double cores, int maxUnavailable) {
+        return new StepDefinition(
+                count,
+                new Resources(cores, 100, 0, 0),
+                500,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                true,
+                200,
+                false,
+                maxUnavailable);
+    }
+}
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobDocuments.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobDocuments.java
@@ -161,7 +161,12 @@
             }
             if (!step.failures().isEmpty()) {
                 ObjectNode failures = entry.putObject("failures");
-                step.failures().forEach((index, count) -> failures.put(index.toString(), count));
+                step.failures()
+                        .forEach(
+                                (index, value) ->
+                                        failures.putArray(index.toString())
+                                                .add(value.count())
+                                                .add(value.lastRun()));
             }
             if (!step.checkpoints().isEmpty()) {
                 ObjectNode checkpoints = entry.putObject("checkpoints");
@@ -180,11 +185,16 @@
             for (int i = 0; i < done.length; i++) {
                 done[i] = words.get(i).asLong();
             }
-            Map<Integer, Integer> failures = new HashMap<>();
+            Map<Integer, StepProgress.Failures> failures = new HashMap<>();
             entry.path("failures")
                     .fields()
                     .forEachRemaining(
-                            e -> failures.put(Integer.valueOf(e.getKey()), e.getValue().asInt()));
+                            e ->
+                                    failures.put(
+                                            Integer.valueOf(e.getKey()),
+                                            new StepProgress.Failures(
+                                                    e.getValue().path(0).asInt(),
+                                                    e.getValue().path(1).asLong())));
             Map<Integer, String> checkpoints = new HashMap<>();
             entry.path("checkpoints")
                     .fields()
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/MaintenanceRounds.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/MaintenanceRounds.java
@@ -127,9 +127,15 @@
     }
 
     private void take(List<FleetInstance> list, long askedMillis) {
-        planners.values().stream()
-                .filter(planner -> !planner.isCompleted())
-                .forEach(planner -> planner.listed(list, askedMillis, clock.nowMillis()));
+        for (MaintenancePlanner planner : planners.values()) {
+            if (!planner.isCompleted()) {
+                planner.listed(list, askedMillis, clock.nowMillis()).forEach(this::close);
+            }
+        }
+        term.planSoon();
+        if (planners.values().stream().anyMatch(MaintenancePlanner::awaitsList)) {
+            list();
+        }
     }
 
     private void order(MaintenancePlanner planner) {
@@ -150,8 +156,10 @@
             term.fenced(id.value());
             return;
         }
-        planner.answered(id, answer, clock.nowMillis()).ifPresent(this::close);
-        term.planSoon();
+        planner.answered(id, answer, clock.nowMillis());
+        if (answer == InstanceAnswer.DONE) {
+            list();
+        }
     }
 
     private void close(WorkerId worker) {
