Count stray runs, and compare times strictly where a list may be older than an answer

A new owner did not count runs that it stops because their task is done or unknown; a list that was asked for in the same millisecond as a start's answer could be older than the start; an incarnation learnt from a worker's list was taken for another new one when its entry came.

Change: stray runs take room until the worker no longer lists them; the comparisons are strict; the newest incarnation is kept once for entry and list; a cursor of recorded ends names its incarnation.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -101,9 +101,7 @@
             fleet.addWorker(new WorkerState(entry));
             return;
         }
-        if (isReborn(known.entry.bornEpochMillis(), entry.bornEpochMillis())) {
-            reborn(known, nowMillis);
-        }
+        incarnation(known, entry.bornEpochMillis(), nowMillis);
         if (!known.entry.pool().equals(entry.pool())) {
             fleet.removeWorker(known);
             known.entry = entry;
@@ -134,14 +132,6 @@
         }
     }
 
-    /** The worker started anew under its id. */
-    public void restarted(WorkerId id, long nowMillis) {
-        WorkerState worker = fleet.workers.get(id);
-        if (worker != null) {
-            reborn(worker, nowMillis);
-        }
-    }
-
     /**
      * Holds back the tasks of all jobs that are known now: an earlier owner may have started them
      * on workers that have not answered this one.
@@ -198,8 +188,10 @@
         if (worker == null) {
             return;
         }
+        incarnation(worker, report.bornEpochMillis(), nowMillis);
         worker.open = true;
         worker.silent = false;
+        worker.strays.clear();
         Set<TaskRef> listed = new HashSet<>();
         for (FinishedRun end : ends) {
             listed.add(end.task());
@@ -312,15 +304,20 @@
         orders.stop(task.worker, task.ref, task.run);
     }
 
-    private static boolean isReborn(long before, long now) {
-        return before != 0 && now != 0 && before != now;
-    }
-
     /**
-     * A new incarnation runs nothing of the old one. Starts that were not answered could still
-     * reach it, so they are stopped there.
+     * Takes the start time of the worker's incarnation, which its entry and its lists tell. A new
+     * incarnation runs nothing of the old one. Starts that were not answered could still reach it,
+     * so they are stopped there.
      */
-    private void reborn(WorkerState worker, long nowMillis) {
+    private void incarnation(WorkerState worker, long bornEpochMillis, long nowMillis) {
+        if (bornEpochMillis <= worker.bornEpochMillis) {
+            return;
+        }
+        boolean known = worker.bornEpochMillis != 0;
+        worker.bornEpochMillis = bornEpochMillis;
+        if (!known) {
+            return;
+        }
         worker.open = false;
         worker.failuresInRow = 0;
         for (TrackedTask task : List.copyOf(worker.tasks.values())) {
@@ -445,6 +442,8 @@
             adopt(task, worker, running, nowMillis);
             return;
         }
+        worker.strays.put(
+                running, task == null ? worker.entry.capacity() : task.step.definition.reserved());
         orders.stop(worker.entry.id(), running.task(), running.run());
     }
 
@@ -474,11 +473,11 @@
                 continue;
             }
             boolean confirmedBefore =
-                    task.state == TrackedTask.State.RUNNING && task.sinceMillis <= sentMillis;
+                    task.state == TrackedTask.State.RUNNING && task.sinceMillis < sentMillis;
             boolean stoppedBefore =
                     task.state == TrackedTask.State.STOPPING
                             && task.stopAnsweredMillis != 0
-                            && task.stopAnsweredMillis <= sentMillis;
+                            && task.stopAnsweredMillis < sentMillis;
             if (confirmedBefore || stoppedBefore) {
                 release(task, nowMillis);
             }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -1,8 +1,10 @@
 package org.quetzalscale.core.schedule;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.RunningTask;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerEntry;
 
@@ -28,16 +30,20 @@
     /** No start before this time, after the worker refused one. */
     long avoidUntilMillis;
 
-    /** Until then runs may go on without word from the worker, on the owner's clock. */
-    long leaseUntilMillis;
+    /** Start of the newest incarnation that is known; 0 if unknown. */
+    long bornEpochMillis;
 
     int failuresInRow;
     long lastFailureMillis;
     Resources used = Resources.NONE;
     final Map<TaskRef, TrackedTask> tasks = new LinkedHashMap<>();
 
+    /** Runs that the worker listed and that are being stopped, with the room that they take. */
+    final Map<RunningTask, Resources> strays = new HashMap<>();
+
     WorkerState(WorkerEntry entry) {
         this.entry = entry;
+        this.bornEpochMillis = entry.bornEpochMillis();
     }
 
     boolean takesWork(long nowMillis) {
@@ -54,7 +60,11 @@
     }
 
     boolean hasRoom(Resources need) {
-        return used.plus(need).fitsIn(entry.capacity());
+        Resources total = used.plus(need);
+        for (Resources stray : strays.values()) {
+            total = total.plus(stray);
+        }
+        return total.fitsIn(entry.capacity());
     }
 
     /** The free part of the processors, 0 to 1. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -56,7 +56,7 @@
         if (writing || stopped) {
             return;
         }
-        Map<WorkerSession, Long> seen = new HashMap<>();
+        Map<WorkerSession, WorkerSession.Cursor> seen = new HashMap<>();
         sessions.values().forEach(session -> seen.put(session, session.seenEnds()));
         if (!scheduler.hasChanged()) {
             seen.forEach(WorkerSession::recorded);
@@ -66,7 +66,8 @@
         write(scheduler.takeChanged(), 0, seen);
     }
 
-    private void write(List<JobProgress> changed, int from, Map<WorkerSession, Long> seen) {
+    private void write(
+            List<JobProgress> changed, int from, Map<WorkerSession, WorkerSession.Cursor> seen) {
         if (stopped) {
             return;
         }
@@ -99,7 +100,7 @@
             CommitResult result,
             List<JobProgress> changed,
             int end,
-            Map<WorkerSession, Long> seen) {
+            Map<WorkerSession, WorkerSession.Cursor> seen) {
         if (!result.isCommitted()) {
             onFenced.run();
             return;
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -63,6 +63,7 @@
     private boolean silent;
     private int startsInFlight;
     private long born;
+    private int incarnation;
     private long seenEnds;
     private long recordedEnds;
     private long clockOffsetMillis;
@@ -117,14 +118,23 @@
         return closed;
     }
 
-    /** Number of the last end that was passed on. */
-    long seenEnds() {
-        return seenEnds;
+    /**
+     * How far a worker's list of ends was passed on.
+     *
+     * @param incarnation counts the incarnations, in each of which numbers begin anew
+     */
+    record Cursor(int incarnation, long number) {}
+
+    Cursor seenEnds() {
+        return new Cursor(incarnation, seenEnds);
     }
 
-    /** The ends up to this number are recorded. */
-    void recorded(long number) {
-        recordedEnds = Math.max(recordedEnds, Math.min(number, seenEnds));
+    /** The ends up to the cursor are recorded. */
+    void recorded(Cursor cursor) {
+        if (cursor.incarnation() != incarnation) {
+            return;
+        }
+        recordedEnds = Math.max(recordedEnds, cursor.number());
         if (!renewing && recordedEnds >= seenEnds) {
             renew();
         }
@@ -239,7 +249,7 @@
             Logger.info("event=worker_restarted worker={} born={}", entry.id(), born);
             seenEnds = 0;
             recordedEnds = 0;
-            term.scheduler().restarted(entry.id(), now);
+            incarnation++;
         }
         born = report.bornEpochMillis();
         clockOffsetMillis = report.clockMillis() - now;
