Balance pools by demand with the standby pool, and count failed runs by number

Orders that were carried out before are told apart by the list, as for maintenance. A silent worker whose instance no longer runs it has ended. Failed runs are kept by number (test areCountedInAnyOrder). An earlier owner's runs are awaited 1.5 s longer, the time in which it learns that it was replaced.

--- a/core/src/main/java/org/quetzalscale/core/instance/FleetInstance.java
+++ b/core/src/main/java/org/quetzalscale/core/instance/FleetInstance.java
@@ -9,17 +9,22 @@
 /**
  * An instance of the fleet.
  *
- * @param up whether it is neither moving, in maintenance nor down
  * @param rack the label of its rack; empty if unknown
  * @param worker the worker that runs on it, if one does
  */
 public record FleetInstance(
-        InstanceId id, PoolId pool, boolean up, String rack, Optional<WorkerId> worker) {
+        InstanceId id, PoolId pool, InstanceState state, String rack, Optional<WorkerId> worker) {
     /** Requires all parts. */
     public FleetInstance {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(pool, "pool");
+        Objects.requireNonNull(state, "state");
         Objects.requireNonNull(rack, "rack");
         Objects.requireNonNull(worker, "worker");
     }
+
+    /** Whether it runs its worker. */
+    public boolean up() {
+        return state == InstanceState.UP;
+    }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.FleetInstance;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -149,12 +151,49 @@
         }
     }
 
+    /** Whether calls to any worker fail. */
+    public boolean hasSilentWorkers() {
+        return fleet.workers.values().stream().anyMatch(worker -> worker.silent);
+    }
+
     /** Whether every known worker has answered this owner, and there are any. */
     public boolean allWorkersOpen() {
         return !fleet.workers.isEmpty()
                 && fleet.workers.values().stream().allMatch(worker -> worker.open);
     }
 
+    /**
+     * Takes the list of instances: a silent worker whose instance no longer runs it has ended.
+     *
+     * @return the workers that have ended
+     */
+    public List<WorkerId> instances(List<FleetInstance> instances, long nowMillis) {
+        Map<InstanceId, FleetInstance> byId = new HashMap<>();
+        for (FleetInstance instance : instances) {
+            byId.put(instance.id(), instance);
+            WorkerState worker = instance.worker().map(fleet.workers::get).orElse(null);
+            if (worker != null) {
+                worker.instance = instance.id();
+            }
+        }
+        List<WorkerId> ended = new ArrayList<>();
+        for (WorkerState worker : List.copyOf(fleet.workers.values())) {
+            if (!worker.silent || worker.instance == null) {
+                continue;
+            }
+            FleetInstance instance = byId.get(worker.instance);
+            boolean runs =
+                    instance != null
+                            && instance.up()
+                            && instance.worker().filter(worker.entry.id()::equals).isPresent();
+            if (!runs) {
+                ended.add(worker.entry.id());
+                ended(worker.entry.id(), nowMillis);
+            }
+        }
+        return ended;
+    }
+
     /** The worker's instance was taken down: nothing runs on it, and it does not come back. */
     public void ended(WorkerId id, long nowMillis) {
         WorkerState worker = fleet.workers.get(id);
@@ -296,6 +335,14 @@
         return fleet;
     }
 
+    RunTimeEstimator estimator() {
+        return estimator;
+    }
+
+    FleetPolicy policy() {
+        return policy;
+    }
+
     /** Stops a run, so that the task can be placed anew. */
     void stop(TrackedTask task, long nowMillis) {
         task.enter(TrackedTask.State.STOPPING, nowMillis);
@@ -353,9 +400,8 @@
             task.step.markBegun();
             changed.add(task.step.job);
         }
-        if (end.end() == RunEnd.FAILED && end.run() > task.lastFailedRun) {
-            task.lastFailedRun = end.run();
-            failed(task, worker, nowMillis);
+        if (end.end() == RunEnd.FAILED) {
+            failed(task, end.run(), worker, nowMillis);
         }
     }
 
@@ -387,14 +433,18 @@
         task.step.markDone(task, nowMillis);
     }
 
-    private void failed(TrackedTask task, WorkerState worker, long nowMillis) {
+    private void failed(TrackedTask task, long run, WorkerState worker, long nowMillis) {
         JobRun job = task.step.job;
+        boolean lasting = task.step.definition.lasting();
+        if (!lasting && !task.failedRuns.add(run)) {
+            return;
+        }
         task.step.markBegun();
         task.failures++;
         task.lastFailedOn = worker.entry.id();
         worker.failuresInRow++;
         worker.lastFailureMillis = nowMillis;
-        if (task.step.definition.lasting()) {
+        if (lasting) {
             long wait = LASTING_RETRY_MILLIS << Math.min(task.failures, 4);
             task.notBeforeMillis = nowMillis + Math.min(wait, MAX_LASTING_RETRY_MILLIS);
             return;
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -244,6 +244,9 @@
         if (worker.isEmpty()) {
             return true;
         }
+        if (worker.get().cordoned) {
+            return false;
+        }
         int size = scheduler.fleet().workersOf(instance.pool()).size();
         int limit = (int) Math.max(1, Math.floor(size * MAX_AWAY_SHARE));
         if (away.getOrDefault(instance.pool(), 0) >= limit) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quetzalscale.core.task.StepDefinition;
 import org.quetzalscale.core.task.StepProgress;
 import org.quetzalscale.core.task.TaskRef;
@@ -62,7 +63,7 @@
         progress.done().stream()
                 .filter(index -> index < tasks.size())
                 .forEach(index -> markDone(tasks.get(index), nowMillis));
-        progress.failures().forEach((index, failures) -> tasks.get(index).restore(failures));
+        progress.failures().forEach((index, runs) -> tasks.get(index).restore(runs));
         progress.checkpoints().forEach((index, text) -> tasks.get(index).checkpoint = text);
         if (!progress.failures().isEmpty()) {
             markBegun();
@@ -71,7 +72,7 @@
 
     StepProgress progress() {
         BitSet finished = new BitSet(tasks.size());
-        Map<Integer, StepProgress.Failures> failures = new HashMap<>();
+        Map<Integer, Set<Long>> failures = new HashMap<>();
         Map<Integer, String> checkpoints = new HashMap<>();
         for (TrackedTask task : tasks) {
             int index = task.ref.index();
@@ -79,8 +80,8 @@
                 finished.set(index);
                 continue;
             }
-            if (task.failures > 0) {
-                failures.put(index, new StepProgress.Failures(task.failures, task.lastFailedRun));
+            if (!task.failedRuns.isEmpty()) {
+                failures.put(index, task.failedRuns);
             }
             if (!task.checkpoint.isEmpty()) {
                 checkpoints.put(index, task.checkpoint);
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -1,7 +1,8 @@
 package org.quetzalscale.core.schedule;
 
+import java.util.Set;
+import java.util.TreeSet;
 import org.quetzalscale.core.id.WorkerId;
-import org.quetzalscale.core.task.StepProgress;
 import org.quetzalscale.core.task.TaskRef;
 
 /** A task with what its owner knows of its runs. */
@@ -31,7 +32,10 @@
     long run;
     String checkpoint = "";
     int failures;
-    long lastFailedRun;
+
+    /** The failed runs that are counted; a worker may list an end again to a later owner. */
+    final Set<Long> failedRuns = new TreeSet<>();
+
     int percent;
     int pacePercent = 100;
     long load;
@@ -60,10 +64,12 @@
     }
 
     /** Takes over what an earlier owner counted. */
-    void restore(StepProgress.Failures recorded) {
-        failures = recorded.count();
-        lastFailedRun = recorded.lastRun();
-        run = Math.max(run, lastFailedRun);
+    void restore(Set<Long> recorded) {
+        failures = recorded.size();
+        failedRuns.addAll(recorded);
+        for (long failed : recorded) {
+            run = Math.max(run, failed);
+        }
     }
 
     /** Whether the task takes room on a worker. */
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.share.Resources;
 import org.quetzalscale.core.task.RunningTask;
 import org.quetzalscale.core.task.TaskRef;
@@ -21,6 +22,9 @@
     /** Whether the platform lists the worker. */
     boolean listed = true;
 
+    /** The instance that it runs on; null if the platform has not told. */
+    InstanceId instance;
+
     /** Set while the worker is emptied for maintenance or a move. */
     boolean cordoned;
 
@@ -73,6 +77,10 @@
         return cores <= 0 ? 0 : (cores - used.cores()) / cores;
     }
 
+    boolean hasLastingTasks() {
+        return tasks.values().stream().anyMatch(task -> task.step.definition.lasting());
+    }
+
     int tasksOf(StepRun step) {
         int count = 0;
         for (TrackedTask task : tasks.values()) {
--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -240,6 +240,32 @@
         }
     }
 
+    @Nested
+    final class FailuresOnSeveralWorkers {
+        /**
+         * Guards against failures that are not counted because a later run's end was seen first:
+         * the workers answer a new owner in any order.
+         */
+        @Test
+        void areCountedInAnyOrder() {
+            add(Samples.job(1, Samples.step(1, 1)));
+            scheduler.listed(Samples.worker(1), now);
+            scheduler.listed(Samples.worker(2), now);
+            TaskRef task = Samples.task(1, 0, 0);
+
+            report(2, List.of(), List.of(new FinishedRun(1, task, 3, RunEnd.FAILED, "")));
+            report(
+                    1,
+                    List.of(),
+                    List.of(
+                            new FinishedRun(1, task, 1, RunEnd.FAILED, ""),
+                            new FinishedRun(2, task, 2, RunEnd.FAILED, "")));
+            plan();
+
+            assertThat(orders.starts).isEmpty();
+        }
+    }
+
     @Nested
     final class Takeovers {
         /** Guards against a second run of what an earlier owner started. */
--- a/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -12,6 +12,7 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.instance.FleetInstance;
 import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.OrderAnswer;
@@ -32,11 +33,16 @@
 
     private static FleetInstance up(int number, int worker) {
         return new FleetInstance(
-                instance(number), Samples.POOL, true, "", Optional.of(Samples.workerId(worker)));
+                instance(number),
+                Samples.POOL,
+                InstanceState.UP,
+                "",
+                Optional.of(Samples.workerId(worker)));
     }
 
     private static FleetInstance down(int number) {
-        return new FleetInstance(instance(number), Samples.POOL, false, "", Optional.empty());
+        return new FleetInstance(
+                instance(number), Samples.POOL, InstanceState.MAINTENANCE, "", Optional.empty());
     }
 
     private MaintenancePlanner planner(int maxDown, Integer... numbers) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/MaintenanceRounds.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
@@ -14,17 +14,22 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.instance.FleetInstance;
 import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.instance.MoveOrder;
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.schedule.MaintenancePlanner;
+import org.quetzalscale.core.schedule.PoolBalancer;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.net.json.Json;
 import org.tinylog.Logger;
 
-/** An owner's rounds of maintenance: reads the list of instances, orders, and reports the waves. */
-final class MaintenanceRounds {
+/**
+ * An owner's rounds over the instances: reads their list, orders maintenance and moves, and reports
+ * the waves.
+ */
+final class InstanceRounds {
     private static final long ROUND_MILLIS = 150;
-    private static final long LIST_MILLIS = 700;
+    private static final long LIST_MILLIS = 500;
 
     private final FleetContext context;
     private final LoopClock clock;
@@ -34,12 +39,13 @@
     private final Map<WorkerId, WorkerSession> sessions;
     private final Map<Long, MaintenancePlanner> planners = new LinkedHashMap<>();
     private final Map<Long, String> reported = new HashMap<>();
+    private final PoolBalancer balancer;
     private final long firstOrderMillis;
     private Map<Long, Set<InstanceId>> recorded;
     private boolean listing;
     private long listedMillis = Long.MIN_VALUE / 2;
 
-    MaintenanceRounds(
+    InstanceRounds(
             FleetContext context,
             PolicyFollower policies,
             Lease lease,
@@ -51,6 +57,7 @@
         this.lease = lease;
         this.term = term;
         this.sessions = sessions;
+        this.balancer = new PoolBalancer(term.scheduler());
         this.firstOrderMillis = clock.nowMillis() + context.times().ownerTurn();
     }
 
@@ -78,12 +85,14 @@
         }
         long now = clock.nowMillis();
         policies.waves().forEach(this::open);
-        boolean open = planners.values().stream().anyMatch(planner -> !planner.isCompleted());
-        if (open && now - listedMillis >= LIST_MILLIS) {
+        if (now - listedMillis >= LIST_MILLIS) {
             list();
         }
-        if (open && now >= firstOrderMillis) {
-            planners.values().forEach(this::order);
+        if (now >= firstOrderMillis) {
+            planners.values().stream()
+                    .filter(planner -> !planner.isCompleted())
+                    .forEach(this::order);
+            balancer.plan(now).forEach(this::move);
         }
         planners.values().forEach(this::report);
         clock.after(ROUND_MILLIS, this::round);
@@ -127,13 +136,16 @@
     }
 
     private void take(List<FleetInstance> list, long askedMillis) {
+        term.scheduler().instances(list, clock.nowMillis()).forEach(this::close);
+        balancer.listed(list, askedMillis, clock.nowMillis()).forEach(this::close);
         for (MaintenancePlanner planner : planners.values()) {
             if (!planner.isCompleted()) {
                 planner.listed(list, askedMillis, clock.nowMillis()).forEach(this::close);
             }
         }
         term.planSoon();
-        if (planners.values().stream().anyMatch(MaintenancePlanner::awaitsList)) {
+        boolean awaited = planners.values().stream().anyMatch(MaintenancePlanner::awaitsList);
+        if (awaited || balancer.awaitsList()) {
             list();
         }
     }
@@ -162,6 +174,28 @@
         }
     }
 
+    private void move(MoveOrder order) {
+        context.instances()
+                .move(order.instance(), order.pool(), lease.fence().version())
+                .thenAccept(answer -> moved(order, answer));
+    }
+
+    private void moved(MoveOrder order, InstanceAnswer answer) {
+        Logger.info(
+                "event=move instance={} pool={} answer={}", order.instance(), order.pool(), answer);
+        if (term.ended()) {
+            return;
+        }
+        if (answer == InstanceAnswer.FENCED) {
+            term.fenced(order.instance().value());
+            return;
+        }
+        balancer.answered(order, answer, clock.nowMillis());
+        if (answer == InstanceAnswer.DONE) {
+            list();
+        }
+    }
+
     private void close(WorkerId worker) {
         WorkerSession session = sessions.get(worker);
         if (session != null) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobDocuments.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobDocuments.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
@@ -163,10 +165,8 @@
                 ObjectNode failures = entry.putObject("failures");
                 step.failures()
                         .forEach(
-                                (index, value) ->
-                                        failures.putArray(index.toString())
-                                                .add(value.count())
-                                                .add(value.lastRun()));
+                                (index, runs) ->
+                                        runs.forEach(failures.putArray(index.toString())::add));
             }
             if (!step.checkpoints().isEmpty()) {
                 ObjectNode checkpoints = entry.putObject("checkpoints");
@@ -185,16 +185,19 @@
             for (int i = 0; i < done.length; i++) {
                 done[i] = words.get(i).asLong();
             }
-            Map<Integer, StepProgress.Failures> failures = new HashMap<>();
+            Map<Integer, Set<Long>> failures = new HashMap<>();
             entry.path("failures")
                     .fields()
                     .forEachRemaining(
                             e ->
-                                    failures.put(
-                                            Integer.valueOf(e.getKey()),
-                                            new StepProgress.Failures(
-                                                    e.getValue().path(0).asInt(),
-                                                    e.getValue().path(1).asLong())));
+                                    e.getValue()
+                                            .forEach(
+                                                    run ->
+                                                            failures.computeIfAbsent(
+                                                                            Integer.valueOf(
+                                                                                    e.getKey()),
+                                                                            key -> new HashSet<>())
+                                                                    .add(run.asLong())));
             Map<Integer, String> checkpoints = new HashMap<>();
             entry.path("checkpoints")
                     .fields()
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -36,7 +36,7 @@
 final class OwnerTerm implements WorkerSession.Term, Orders {
     private static final int FEED_WAIT_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 100;
-    private static final long DIRECTORY_MILLIS = 400;
+    private static final long DIRECTORY_MILLIS = 250;
     private static final long PLAN_DELAY_MILLIS = 2;
     private static final long PLAN_INTERVAL_MILLIS = 100;
     private static final long PUBLISH_MILLIS = 800;
@@ -50,7 +50,7 @@
     private final Lease lease;
     private final FleetScheduler scheduler;
     private final ProgressRecorder recorder;
-    private final MaintenanceRounds maintenance;
+    private final InstanceRounds instances;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final long takenMillis;
@@ -73,7 +73,7 @@
         this.recorder =
                 new ProgressRecorder(
                         context.table(), clock, lease.fence(), scheduler, sessions, onFenced);
-        this.maintenance = new MaintenanceRounds(context, policies, lease, this, sessions);
+        this.instances = new InstanceRounds(context, policies, lease, this, sessions);
     }
 
     /** Reads jobs, then their progress, then workers. Progress is read after the jobs it is of. */
@@ -195,7 +195,7 @@
         readWorkers();
         planRegularly();
         publishRegularly();
-        maintenance.start();
+        instances.start();
     }
 
     private void apply(RowKey key, String value, Map<JobId, JobProgress> progress) {
@@ -361,7 +361,7 @@
                         clock,
                         entry.get(),
                         fence(),
-                        takenMillis + WorkerSession.leaseBoundMillis());
+                        takenMillis + WorkerSession.inheritedBoundMillis());
         sessions.put(id, opened);
         opened.start();
     }
@@ -393,7 +393,8 @@
             return;
         }
         long now = clock.nowMillis();
-        if (now - takenMillis >= WorkerSession.leaseBoundMillis() || scheduler.allWorkersOpen()) {
+        if (now - takenMillis >= WorkerSession.inheritedBoundMillis()
+                || scheduler.allWorkersOpen()) {
             scheduler.releaseInherited();
         }
         scheduler.plan(now, clock.epochMillis().getAsLong());
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -43,6 +43,9 @@
     /** The lease on the owner's clock: workers' clocks may be 2% slow. */
     private static final long LEASE_BOUND_MILLIS = LEASE_MILLIS * 102 / 100 + 100;
 
+    /** Time in which a former owner learns that its lease was taken. */
+    private static final long FENCE_NOTICE_MILLIS = 1_500;
+
     private static final int WAIT_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 100;
 
@@ -91,9 +94,12 @@
         this.leaseUntilMillis = inheritedLeaseMillis;
     }
 
-    /** The longest time that runs go on after an owner's last renewal, on this process's clock. */
-    static long leaseBoundMillis() {
-        return LEASE_BOUND_MILLIS;
+    /**
+     * How long runs of an earlier owner may go on after its lease was taken: it renews its workers
+     * until it learns of that from one of them or from the store.
+     */
+    static long inheritedBoundMillis() {
+        return LEASE_BOUND_MILLIS + FENCE_NOTICE_MILLIS;
     }
 
     void start() {
