Tell pipelined requests on a connection apart, and refuse dot segments

When the last part of a body was read from within the handling of the part before it, the outer call took the body's end for its own and read one message too many: a part of the next request went to the present one, and the head after that replaced the one that was held.

Change: each call looks at its own part, and a task can not read beyond its body.

--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/CallerConnection.java
@@ -82,8 +82,11 @@
         this.surplus = surplus;
     }
 
-    /** Asks for the next part of the request's body. */
+    /** Asks for the next part of the request's body; what follows the body is not its own. */
     void readBody() {
+        if (bodyEnded) {
+            return;
+        }
         if (continueExpected) {
             continueExpected = false;
             context.writeAndFlush(
@@ -270,9 +273,11 @@
             task.bodyMalformed(content.decoderResult().cause().getMessage());
             return;
         }
-        bodyEnded = content instanceof LastHttpContent;
+        boolean last = content instanceof LastHttpContent;
+        bodyEnded = last;
         task.body(content);
-        if (bodyEnded && (state == State.SERVING || state == State.WAITING)) {
+        // The task may have read further parts by now, so that the field tells of another part.
+        if (last && (state == State.SERVING || state == State.WAITING)) {
             // Notices that the caller leaves; a pipelined request is held until its turn.
             reads.read();
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/caller/HeadCheck.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/caller/HeadCheck.java
@@ -21,6 +21,9 @@
     private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}");
     private static final Pattern URI = Pattern.compile("/[!-~&&[^\"<>\\\\^`{|}#]]*");
 
+    /** A target could resolve such a segment to a path outside of the queue. */
+    private static final Pattern DOT_SEGMENT = Pattern.compile("[^?]*/(\\.|%2[eE]){1,2}([/?].*|$)");
+
     private HeadCheck() {}
 
     /**
@@ -44,6 +47,9 @@
         if (!URI.matcher(request.uri()).matches()) {
             throw malformed("the request target is not a path of printable ASCII characters");
         }
+        if (DOT_SEGMENT.matcher(request.uri()).matches()) {
+            throw malformed("the path has a segment \".\" or \"..\"");
+        }
         HttpHeaders headers = request.headers();
         if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
             throw malformed("the request does not have exactly one Host header");
