--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
@@ -0,0 +1,172 @@
+package org.quetzalscale.core.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.instance.InstanceState;
+import org.quetzalscale.core.instance.MoveOrder;
+import org.quetzalscale.core.task.OrderAnswer;
+import org.quetzalscale.core.task.RunningTask;
+import org.quetzalscale.core.task.WorkerReport;
+
+final class PoolBalancerTest {
+    private static final PoolId OTHER = new PoolId("other");
+    private static final PoolId STANDBY = new PoolId("standby");
+    private static final QueueId OTHER_QUEUE = new QueueId("other-queue");
+
+    private final RecordedOrders orders = new RecordedOrders();
+    private final FleetScheduler scheduler = new FleetScheduler(policy(), orders, 0);
+    private final PoolBalancer balancer = new PoolBalancer(scheduler);
+    private final List<FleetInstance> instances = new ArrayList<>();
+    private long now = 1_000;
+
+    private static FleetPolicy policy() {
+        FleetPolicy base = Samples.policy(0);
+        Map<QueueId, QueuePolicy> queues = new HashMap<>(base.queues());
+        queues.put(OTHER_QUEUE, new QueuePolicy(OTHER_QUEUE, OTHER, 0, 3, 1.6, 600, false));
+        return new FleetPolicy(
+                1,
+                List.of(),
+                queues,
+                Map.of(
+                        Samples.POOL,
+                        new PoolPolicy(Samples.POOL, false),
+                        OTHER,
+                        new PoolPolicy(OTHER, false),
+                        STANDBY,
+                        new PoolPolicy(STANDBY, true)),
+                base.organisations(),
+                Map.of());
+    }
+
+    private static InstanceId instance(int number) {
+        return new InstanceId("m-" + number);
+    }
+
+    /** Adds instances with open workers to a pool, or without workers to the standby pool. */
+    private void add(PoolId pool, int from, int count) {
+        for (int number = from; number < from + count; number++) {
+            boolean off = pool.equals(STANDBY);
+            instances.add(
+                    new FleetInstance(
+                            instance(number),
+                            pool,
+                            InstanceState.UP,
+                            "",
+                            off ? Optional.empty() : Optional.of(Samples.workerId(number))));
+            if (!off) {
+                scheduler.listed(Samples.worker(number, pool), now);
+                report(number);
+            }
+        }
+    }
+
+    private void report(int worker, RunningTask... running) {
+        scheduler.reported(
+                Samples.workerId(worker),
+                new WorkerReport(now, 1, List.of(running), List.of()),
+                List.of(),
+                now,
+                now);
+    }
+
+    private List<MoveOrder> plan() {
+        balancer.listed(instances, now, now);
+        scheduler.instances(instances, now);
+        return balancer.plan(now);
+    }
+
+    private Map<PoolId, Long> byPool(List<MoveOrder> moves) {
+        return moves.stream()
+                .collect(Collectors.groupingBy(MoveOrder::pool, Collectors.counting()));
+    }
+
+    @Nested
+    final class Bursts {
+        /** Replays a burst of more than twice what the pool holds, at its first moment. */
+        @Test
+        void bringStandbyInstancesAtOnce() {
+            add(Samples.POOL, 1, 4);
+            add(OTHER, 11, 4);
+            add(STANDBY, 21, 4);
+            scheduler.addJob(Samples.job(1, Samples.step(200, 4)), Optional.empty(), now, now);
+
+            List<MoveOrder> moves = plan();
+
+            assertThat(moves).allMatch(move -> move.pool().equals(Samples.POOL));
+            assertThat(moves)
+                    .extracting(MoveOrder::instance)
+                    .contains(instance(21), instance(22), instance(23), instance(24));
+        }
+
+        /** Guards against work that is thrown away by a move. */
+        @Test
+        void takeNoInstanceWithTasks() {
+            add(Samples.POOL, 1, 4);
+            add(OTHER, 11, 1);
+            scheduler.addJob(Samples.job(1, Samples.step(4, 16)), Optional.empty(), now, now);
+            scheduler.plan(now, 0);
+            for (RecordedOrders.Start start : orders.starts) {
+                scheduler.startAnswered(
+                        start.worker(),
+                        start.order().task(),
+                        start.order().run(),
+                        OrderAnswer.ACCEPTED,
+                        now);
+            }
+
+            List<MoveOrder> moves = plan();
+
+            assertThat(moves).isEmpty();
+        }
+    }
+
+    @Nested
+    final class QuietTimes {
+        /** Guards against pools that are paid for while nobody needs them. */
+        @Test
+        void sendSpareInstancesToStandby() {
+            add(Samples.POOL, 1, 10);
+            add(OTHER, 11, 10);
+
+            Map<PoolId, Long> moves = byPool(plan());
+
+            assertThat(moves).containsOnlyKeys(STANDBY);
+            assertThat(moves.get(STANDBY)).isEqualTo(8);
+        }
+
+        /** Guards against an order for an instance whose last order is not settled. */
+        @Test
+        void orderEachMoveOnce() {
+            add(Samples.POOL, 1, 10);
+            add(OTHER, 11, 10);
+            plan();
+
+            assertThat(plan()).isEmpty();
+        }
+
+        /** Guards against a worker that stays cordoned after its move was refused. */
+        @Test
+        void useTheWorkerOfARefusedMoveAgain() {
+            add(Samples.POOL, 1, 10);
+            add(OTHER, 11, 10);
+            List<MoveOrder> moves = plan();
+            moves.forEach(move -> balancer.answered(move, InstanceAnswer.BUSY, now));
+
+            assertThat(scheduler.fleet().workers.values())
+                    .allMatch(worker -> worker.takesWork(now));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolTargetsTest.java
@@ -0,0 +1,76 @@
+package org.quetzalscale.core.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.quetzalscale.core.id.PoolId;
+
+final class PoolTargetsTest {
+    private static final PoolId BUSY = new PoolId("busy");
+    private static final PoolId QUIET = new PoolId("quiet");
+    private static final PoolId OTHER = new PoolId("other");
+
+    private final PoolTargets targets = new PoolTargets();
+
+    private static Map<PoolId, PoolTargets.Need> needs(double busy, double quiet, double other) {
+        Map<PoolId, PoolTargets.Need> needs = new LinkedHashMap<>();
+        needs.put(BUSY, new PoolTargets.Need(2, busy));
+        needs.put(QUIET, new PoolTargets.Need(2, quiet));
+        needs.put(OTHER, new PoolTargets.Need(2, other));
+        return needs;
+    }
+
+    /** Guards against one pool that takes all instances while another has a burst as well. */
+    @Example
+    void givesPoolsInNeedTheSamePartOfIt() {
+        Map<PoolId, Integer> divided = targets.divide(needs(42, 22, 2), 36, 0);
+
+        assertThat(divided).containsEntry(BUSY, 22).containsEntry(QUIET, 12);
+        assertThat(divided).containsEntry(OTHER, 2);
+    }
+
+    /** Guards against instances that leave a pool between two bursts while nobody needs them. */
+    @Example
+    void remembersWhatAPoolNeededAMomentAgo() {
+        targets.divide(needs(20, 2, 2), 40, 0);
+
+        assertThat(targets.divide(needs(2, 2, 2), 40, 500).get(BUSY)).isGreaterThan(10);
+        assertThat(targets.divide(needs(2, 2, 2), 40, 60_000).get(BUSY)).isEqualTo(2);
+    }
+
+    /** Guards against a memory that is served before a need. */
+    @Example
+    void servesNeedBeforeMemory() {
+        targets.divide(needs(20, 2, 2), 24, 0);
+
+        Map<PoolId, Integer> divided = targets.divide(needs(2, 20, 2), 24, 100);
+
+        assertThat(divided).containsEntry(QUIET, 20).containsEntry(BUSY, 2);
+    }
+
+    /** Guards against targets that no division of the instances can meet. */
+    @Property(tries = 500)
+    void staysWithinTheTotal(
+            @ForAll @Size(min = 1, max = 8) List<@DoubleRange(max = 90) Double> beyondLeast,
+            @ForAll @IntRange(min = 16, max = 100) int total) {
+        Map<PoolId, PoolTargets.Need> needs = new LinkedHashMap<>();
+        for (double beyond : beyondLeast) {
+            needs.put(new PoolId("pool-" + needs.size()), new PoolTargets.Need(2, 2 + beyond));
+        }
+
+        Map<PoolId, Integer> divided = targets.divide(needs, total, 0);
+
+        int sum = divided.values().stream().mapToInt(Integer::intValue).sum();
+        // Each target is rounded to the nearest whole number.
+        assertThat(sum).isLessThanOrEqualTo(total + divided.size() / 2);
+        assertThat(divided.values()).allMatch(target -> target >= 2);
+    }
+}
--- a/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
@@ -44,9 +44,13 @@
     }
 
     static WorkerEntry worker(int number) {
+        return worker(number, POOL);
+    }
+
+    static WorkerEntry worker(int number, PoolId pool) {
         return new WorkerEntry(
                 workerId(number),
-                POOL,
+                pool,
                 new ZoneId("zone-a"),
                 new InetSocketAddress("10.0.0." + number, 8080),
                 WORKER_CAPACITY,
