--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -28,7 +28,8 @@
         WorkerRows workers,
         InstanceCalls instances,
         WaveStatusRows waveStatus,
-        Times times) {
+        Times times,
+        FleetMetrics metrics) {
     /**
      * Where operators read the state of waves.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -0,0 +1,107 @@
+package org.quetzalscale.daemon.fleet;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** Counters and histograms of the fleet's services. Safe for use by several threads. */
+public final class FleetMetrics {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double[] BOUNDS_SECONDS = {
+        0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5
+    };
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+    private final Histogram requests =
+            histogram(
+                    "quetzalscale_fleet_request_seconds",
+                    "Time from a caller's request to its answer",
+                    "method",
+                    "status");
+    private final Histogram storeCalls =
+            histogram(
+                    "quetzalscale_fleet_store_call_seconds",
+                    "Time of calls to the platform's store",
+                    "call",
+                    "outcome");
+    private final Counter orders =
+            counter(
+                    "quetzalscale_fleet_orders_total",
+                    "Orders to workers and for instances, by their answer",
+                    "order",
+                    "answer");
+    private final Counter ends =
+            counter("quetzalscale_fleet_run_ends_total", "Runs that ended, by how", "end");
+    private final Gauge owner =
+            Gauge.builder()
+                    .name("quetzalscale_fleet_owner")
+                    .help("1 while this instance owns the fleet")
+                    .register(registry);
+    private final Gauge policyVersion =
+            Gauge.builder()
+                    .name("quetzalscale_fleet_policy_version")
+                    .help("Version of the operators' configuration in use")
+                    .register(registry);
+
+    /** A request was answered. */
+    public void request(String method, String status, long millis) {
+        requests.labelValues(method, status).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** A call to the store ended. */
+    public void storeCall(String call, String outcome, long millis) {
+        storeCalls.labelValues(call, outcome).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** An order was answered. */
+    public void order(String order, String answer) {
+        orders.labelValues(order, answer).inc();
+    }
+
+    /** A run ended. */
+    public void runEnded(String end) {
+        ends.labelValues(end).inc();
+    }
+
+    /** Whether this instance owns the fleet. */
+    public void owner(boolean owns) {
+        owner.set(owns ? 1 : 0);
+    }
+
+    /** The version of the configuration in use. */
+    public void policyVersion(long version) {
+        policyVersion.set(version);
+    }
+
+    /** All metrics in the Prometheus text format. */
+    public byte[] text() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            writer.write(bytes, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+        return bytes.toString(StandardCharsets.UTF_8).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private Histogram histogram(String name, String help, String... labels) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames(labels)
+                .classicOnly()
+                .classicUpperBounds(BOUNDS_SECONDS)
+                .register(registry);
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+}
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
@@ -159,6 +159,7 @@
     }
 
     private void answered(MaintenancePlanner planner, InstanceId id, InstanceAnswer answer) {
+        context.metrics().order("maintenance", answer.name());
         Logger.info(
                 "event=maintenance wave={} instance={} answer={}", planner.number(), id, answer);
         if (term.ended()) {
@@ -181,6 +182,7 @@
     }
 
     private void moved(MoveOrder order, InstanceAnswer answer) {
+        context.metrics().order("move", answer.name());
         Logger.info(
                 "event=move instance={} pool={} answer={}", order.instance(), order.pool(), answer);
         if (term.ended()) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -66,6 +66,7 @@
     }
 
     private void policy(FleetPolicy policy) {
+        context.metrics().policyVersion(policy.version());
         if (term != null) {
             term.policy(policy);
         } else {
@@ -99,6 +100,7 @@
         }
         endTerm();
         term = new OwnerTerm(context, policies, lease.get(), () -> fenced(version));
+        context.metrics().owner(true);
         term.start();
     }
 
@@ -111,6 +113,7 @@
         if (term != null) {
             term.stop();
             term = null;
+            context.metrics().owner(false);
         }
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -357,8 +357,7 @@
         WorkerSession opened =
                 new WorkerSession(
                         this,
-                        context.calls(),
-                        clock,
+                        context,
                         entry.get(),
                         fence(),
                         takenMillis + WorkerSession.inheritedBoundMillis());
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -8,6 +8,7 @@
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.OrderAnswer;
+import org.quetzalscale.core.task.RunEnd;
 import org.quetzalscale.core.task.StartOrder;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerCalls;
@@ -56,6 +57,7 @@
 
     private final Term term;
     private final WorkerCalls calls;
+    private final FleetMetrics metrics;
     private final LoopClock clock;
     private final long fence;
     private final Queue<StartOrder> starts = new ArrayDeque<>();
@@ -81,14 +83,14 @@
      */
     WorkerSession(
             Term term,
-            WorkerCalls calls,
-            LoopClock clock,
+            FleetContext context,
             WorkerEntry entry,
             long fence,
             long inheritedLeaseMillis) {
         this.term = term;
-        this.calls = calls;
-        this.clock = clock;
+        this.calls = context.calls();
+        this.metrics = context.metrics();
+        this.clock = context.clock();
         this.entry = entry;
         this.fence = fence;
         this.leaseUntilMillis = inheritedLeaseMillis;
@@ -160,6 +162,7 @@
         calls.stop(entry, task, run, fence)
                 .thenAccept(
                         answer -> {
+                            metrics.order("stop", answer.name());
                             if (isOver(answer)) {
                                 return;
                             }
@@ -191,8 +194,7 @@
     }
 
     private void startAnswered(TaskRef task, long run, OrderAnswer answer) {
-        Logger.debug(
-                "event=start task={} run={} worker={} answer={}", task, run, entry.id(), answer);
+        metrics.order("start", answer.name());
         if (answer != OrderAnswer.ACCEPTED) {
             Logger.info(
                     "event=start_refused task={} run={} worker={} answer={}",
@@ -269,6 +271,7 @@
                 report.finished().stream().filter(end -> end.number() > seenEnds).toList();
         for (FinishedRun end : ends) {
             seenEnds = Math.max(seenEnds, end.number());
+            ended(end);
         }
         term.scheduler().reported(entry.id(), report, ends, sentMillis, now);
         term.planSoon();
@@ -281,6 +284,18 @@
         clock.after(RECORD_WAIT_MILLIS, this::renewOverdue);
     }
 
+    private void ended(FinishedRun end) {
+        metrics.runEnded(end.end().name());
+        if (end.end() != RunEnd.DONE) {
+            Logger.info(
+                    "event=run_ended task={} run={} worker={} end={}",
+                    end.task(),
+                    end.run(),
+                    entry.id(),
+                    end.end());
+        }
+    }
+
     private void renewOverdue() {
         if (clock.nowMillis() >= awaitRecordUntilMillis) {
             renew();
