Call a silent worker only after a pause, and answer callers whom the store keeps waiting

Nodes that the store refuses kept callers until their deadline and answered 504.

Change: only a session that waits for its ends to be recorded is woken by a record (test doesNotCallASilentWorkerAtEachRecord failed before). Entries of workers that ended with their instance are told apart from later ones.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
@@ -201,7 +201,7 @@
     private void close(WorkerId worker) {
         WorkerSession session = sessions.get(worker);
         if (session != null) {
-            session.close();
+            session.end();
         }
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -27,8 +27,11 @@
 public final class JobGateway {
     private static final long RETRY_MILLIS = 60;
 
-    /** Refusals of the store after which a submission is refused, so that the caller goes on. */
-    private static final int MAX_REFUSALS = 3;
+    /** Calls to the store after which the caller is answered, so that it tries another instance. */
+    private static final int MAX_CALLS = 3;
+
+    /** Time for these calls. */
+    private static final long MAX_INSISTING_MILLIS = 900;
 
     private static final long WAITING_AGE_MILLIS = 800;
 
@@ -109,18 +112,22 @@
         return JobDocuments.PROGRESS.decode(row.value()).phase();
     }
 
-    /** Repeats a call that may be repeated, until it is answered or the deadline comes. */
+    /**
+     * Repeats a call that may be repeated. A store that does not answer this instance may answer
+     * another one, so the caller is not kept waiting until its deadline.
+     */
     private <T> CompletionStage<T> insist(Supplier<CompletionStage<T>> call, long deadlineMillis) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        attempt(call, deadlineMillis, result, 0, false);
+        long until = Math.min(deadlineMillis, clock.nowMillis() + MAX_INSISTING_MILLIS);
+        attempt(call, until, result, 1, false);
         return result;
     }
 
     private <T> void attempt(
             Supplier<CompletionStage<T>> call,
-            long deadlineMillis,
+            long untilMillis,
             CompletableFuture<T> result,
-            int refusals,
+            int calls,
             boolean uncertain) {
         call.get()
                 .whenComplete(
@@ -130,19 +137,20 @@
                                 return;
                             }
                             QuetzalscaleException error = QuetzalscaleException.from(failure);
-                            boolean unknown = error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN;
-                            int refused = unknown ? refusals : refusals + 1;
-                            boolean doubt = uncertain || unknown;
-                            if ((!doubt && refused >= MAX_REFUSALS)
-                                    || clock.nowMillis() + RETRY_MILLIS >= deadlineMillis) {
+                            boolean doubt =
+                                    uncertain || error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN;
+                            if (calls >= MAX_CALLS
+                                    || clock.nowMillis() + RETRY_MILLIS >= untilMillis) {
                                 Logger.warn(
-                                        "event=store_call_failed cause=\"{}\"", error.getMessage());
+                                        "event=store_call_failed calls={} cause=\"{}\"",
+                                        calls,
+                                        error.getMessage());
                                 result.completeExceptionally(doubt ? uncertain(error) : error);
                                 return;
                             }
                             clock.after(
                                     RETRY_MILLIS,
-                                    () -> attempt(call, deadlineMillis, result, refused, doubt));
+                                    () -> attempt(call, untilMillis, result, calls + 1, doubt));
                         });
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -343,8 +343,11 @@
         }
         WorkerId id = entry.get().id();
         listed.add(id);
-        scheduler.listed(entry.get(), clock.nowMillis());
         WorkerSession session = sessions.get(id);
+        if (session != null && session.hasEnded(entry.get())) {
+            return;
+        }
+        scheduler.listed(entry.get(), clock.nowMillis());
         if (session != null && !session.isClosed()) {
             session.update(entry.get());
             return;
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -74,7 +74,10 @@
     private long clockOffsetMillis;
     private boolean clockKnown;
     private long leaseUntilMillis;
+    private boolean awaitingRecord;
     private long awaitRecordUntilMillis;
+    private boolean emptied;
+    private boolean ended;
 
     /**
      * Creates a session.
@@ -117,9 +120,15 @@
         listed = false;
     }
 
-    /** The worker has ended. */
-    void close() {
+    /** The worker has ended with its instance; its entry may be listed for some time yet. */
+    void end() {
         closed = true;
+        ended = true;
+    }
+
+    /** Whether an entry is of the worker that has ended, and not of a later one with its id. */
+    boolean hasEnded(WorkerEntry listedEntry) {
+        return ended && listedEntry.bornEpochMillis() <= Math.max(born, entry.bornEpochMillis());
     }
 
     boolean isClosed() {
@@ -143,7 +152,8 @@
             return;
         }
         recordedEnds = Math.max(recordedEnds, cursor.number());
-        if (!renewing && recordedEnds >= seenEnds) {
+        if (awaitingRecord && recordedEnds >= seenEnds) {
+            awaitingRecord = false;
             renew();
         }
     }
@@ -263,6 +273,7 @@
         clockOffsetMillis = report.clockMillis() - now;
         boolean first = !clockKnown;
         clockKnown = true;
+        emptied = false;
         if (silent) {
             silent = false;
             Logger.info("event=worker_back worker={}", entry.id());
@@ -280,6 +291,7 @@
             return;
         }
         // Waits until the ends are recorded; a store that is away must not stop the renewals.
+        awaitingRecord = true;
         awaitRecordUntilMillis = now + RECORD_WAIT_MILLIS;
         clock.after(RECORD_WAIT_MILLIS, this::renewOverdue);
     }
@@ -297,7 +309,8 @@
     }
 
     private void renewOverdue() {
-        if (clock.nowMillis() >= awaitRecordUntilMillis) {
+        if (awaitingRecord && clock.nowMillis() >= awaitRecordUntilMillis) {
+            awaitingRecord = false;
             renew();
         }
     }
@@ -322,14 +335,15 @@
                     "event=worker_silent worker={} cause=\"{}\"", entry.id(), error.getMessage());
             term.scheduler().silent(entry.id(), true);
         }
-        if (now >= leaseUntilMillis || error.kind() == ErrorKind.INVALID_STATE) {
+        boolean over = now >= leaseUntilMillis || error.kind() == ErrorKind.INVALID_STATE;
+        if (over && !listed) {
+            closed = true;
+        }
+        if (over && !emptied) {
+            emptied = true;
             Logger.info("event=worker_emptied worker={} listed={}", entry.id(), listed);
             term.scheduler().emptied(entry.id(), now);
             term.planSoon();
-            if (!listed) {
-                closed = true;
-                return;
-            }
         }
         clock.after(RETRY_MILLIS, this::renew);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -0,0 +1,184 @@
+package org.quetzalscale.daemon.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.id.ZoneId;
+import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.schedule.FleetScheduler;
+import org.quetzalscale.core.schedule.Orders;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.FinishedRun;
+import org.quetzalscale.core.task.OrderAnswer;
+import org.quetzalscale.core.task.RunEnd;
+import org.quetzalscale.core.task.StartOrder;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerCalls;
+import org.quetzalscale.core.task.WorkerEntry;
+import org.quetzalscale.core.task.WorkerReport;
+
+final class WorkerSessionTest implements WorkerSession.Term, Orders {
+    private static final long NEVER = 1_000_000;
+
+    private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+    private final LoopClock clock = new LoopClock(loop, () -> 1_000, () -> 0);
+    private final ScriptedCalls calls = new ScriptedCalls();
+    private final FleetScheduler scheduler =
+            new FleetScheduler(
+                    new FleetPolicy(1, List.of(), Map.of(), Map.of(), Map.of(), Map.of()), this, 0);
+    private final WorkerSession session =
+            new WorkerSession(
+                    this,
+                    new FleetContext(
+                            null, clock, null, calls, null, null, null, null, new FleetMetrics()),
+                    entry(1),
+                    7,
+                    NEVER);
+
+    private static WorkerEntry entry(long born) {
+        return new WorkerEntry(
+                new WorkerId("i-1"),
+                new PoolId("lab"),
+                new ZoneId("z"),
+                new InetSocketAddress("127.0.0.1", 1),
+                new Resources(4, 4, 0, 0),
+                List.of(),
+                "",
+                false,
+                0,
+                born);
+    }
+
+    /** Answers of a worker, in the order of the calls; without one a call stays open. */
+    private static final class ScriptedCalls implements WorkerCalls {
+        final List<CompletableFuture<WorkerReport>> renewals = new ArrayList<>();
+        final List<Long> acknowledged = new ArrayList<>();
+
+        @Override
+        public CompletionStage<OrderAnswer> start(
+                WorkerEntry worker, StartOrder order, long leaseClockMillis, long fence) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletionStage<OrderAnswer> stop(
+                WorkerEntry worker, TaskRef task, long run, long fence) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletionStage<OrderAnswer> pace(
+                WorkerEntry worker, TaskRef task, long run, int percent, long fence) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletionStage<WorkerReport> renew(
+                WorkerEntry worker,
+                long leaseClockMillis,
+                long number,
+                int waitMillis,
+                long fence) {
+            CompletableFuture<WorkerReport> reply = new CompletableFuture<>();
+            renewals.add(reply);
+            acknowledged.add(number);
+            return reply;
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        loop.shutdownNow();
+    }
+
+    @Override
+    public FleetScheduler scheduler() {
+        return scheduler;
+    }
+
+    @Override
+    public void planSoon() {}
+
+    @Override
+    public void fenced(String by) {}
+
+    @Override
+    public boolean ended() {
+        return false;
+    }
+
+    @Override
+    public void start(WorkerId worker, StartOrder order) {}
+
+    @Override
+    public void stop(WorkerId worker, TaskRef task, long run) {}
+
+    @Override
+    public void pace(WorkerId worker, TaskRef task, long run, int percent) {}
+
+    private static WorkerReport report(FinishedRun... ends) {
+        return new WorkerReport(50, 1, List.of(), List.of(ends));
+    }
+
+    private static FinishedRun end(long number) {
+        TaskRef task = new TaskRef(new JobId("0000000000000001"), 0, 0, 0);
+        return new FinishedRun(number, task, number, RunEnd.DONE, "");
+    }
+
+    /**
+     * Guards against a session that calls a dead worker without a pause: each record of other
+     * workers' ends made it call again, and the owner had no time for anything else.
+     */
+    @Test
+    void doesNotCallASilentWorkerAtEachRecord() {
+        session.start();
+        calls.renewals
+                .get(0)
+                .completeExceptionally(
+                        new QuetzalscaleException(ErrorKind.TARGET_UNREACHABLE, "refused"));
+
+        for (int i = 0; i < 100; i++) {
+            session.recorded(session.seenEnds());
+        }
+
+        assertThat(calls.renewals).hasSize(1);
+    }
+
+    /** Guards against an end that is acknowledged before it is recorded. */
+    @Test
+    void acknowledgesEndsOnlyAfterTheirRecord() {
+        session.start();
+        calls.renewals.get(0).complete(report());
+        WorkerSession.Cursor before = session.seenEnds();
+        calls.renewals.get(1).complete(report(end(1)));
+        session.recorded(before);
+        assertThat(calls.renewals).hasSize(2);
+
+        session.recorded(session.seenEnds());
+
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L);
+    }
+
+    /** Guards against calls to a worker whose instance is gone but whose entry still stands. */
+    @Test
+    void tellsTheEntryOfAnEndedWorkerFromALaterOne() {
+        session.end();
+
+        assertThat(session.hasEnded(entry(1))).isTrue();
+        assertThat(session.hasEnded(entry(2))).isFalse();
+    }
+}
