Give the answers of the stop test more time than the machine takes

Cause: aPlannedStopCutsNoRequestAndEndsWithZero failed beside busy processes with a chunked body ended by EOF after 8 s. The stop does not cut the stream: the queue's limit of 5 s does, which bounds a request to the end of its answer (docs/operators/resources.md), and the test reads the stream only after its slow request.

Change: both requests use a queue of the same pool with 60 s, so that only the stop could cut them; the check stays. Ruled out: the drain's bound, which was not reached.

--- a/acceptance/src/test/java/org/quetzalscale/acceptance/process/WholePathTest.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/process/WholePathTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.quetzalscale.acceptance.process.ProcessDeployment.LIMIT;
 import static org.quetzalscale.acceptance.support.Declarations.LARGE_TEAM;
+import static org.quetzalscale.acceptance.support.Declarations.LONG_QUEUE;
 import static org.quetzalscale.acceptance.support.Declarations.QUEUE;
 import static org.quetzalscale.acceptance.support.Declarations.SMALL_TEAM;
 
@@ -91,16 +92,19 @@
                 .isEqualTo("SUCCEEDED");
     }
 
-    /** Guards against a stop that cuts what runs, or that ends as if the process had failed. */
+    /**
+     * Guards against a stop that cuts what runs, or that ends as if the process had failed. The
+     * answers may take longer than the machine does, because a queue's time limit cuts them too.
+     */
     @Test
     @Order(2)
     void aPlannedStopCutsNoRequestAndEndsWithZero() throws IOException {
         Caller caller = deployment.createKey("stop-key", LARGE_TEAM);
         int port = deployment.callerPort(1);
         CompletableFuture<HttpResponse<String>> slow =
-                caller.send(port, "POST", QUEUE + "/slow?ms=2000&size=5000", "sample");
+                caller.send(port, "POST", LONG_QUEUE + "/slow?ms=2000&size=5000", "sample");
         HttpResponse<InputStream> streamed =
-                caller.open(port, QUEUE + "/streamed?chunked=true&size=" + STREAM_BYTES);
+                caller.open(port, LONG_QUEUE + "/streamed?chunked=true&size=" + STREAM_BYTES);
         Eventually.await(
                 "both requests at a target",
                 LIMIT,
--- a/acceptance/src/test/java/org/quetzalscale/acceptance/support/Declarations.java
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/support/Declarations.java
@@ -16,6 +16,9 @@
     /** Path of the queue, on which POST is not idempotent. */
     public static final String QUEUE = "/q/nitrate-checks";
 
+    /** Path of a queue of the same pool whose answers may take a minute. */
+    public static final String LONG_QUEUE = "/q/nitrate-models";
+
     private static final String TEAMS_POOL_AND_QUEUE =
             """
             kind: teams
@@ -33,6 +36,10 @@
             kind: queues
             name: nitrate-checks
             spec: {pool: nitrate, open: false, timeoutMs: 5000, maxQueued: 100}
+            ---
+            kind: queues
+            name: nitrate-models
+            spec: {pool: nitrate, open: false, timeoutMs: 60000, maxQueued: 100}
             """;
 
     private Declarations() {}
