Wait for the workers that instances run, and delete the rows of jobs that ended long ago

Cause (from reading the code): at a takeover a worker whose entry had expired while it ran on was not waited for, so that its tasks could have started a second time; and the rows of ended jobs were kept for ever.

Change: inherited jobs wait also for each worker that the list of instances shows as up; after 2 s without a list the entries decide alone. WorkerDirectory and StoreFailures are split from OwnerTerm. OwnerServiceTest plays submission, takeover, a store that is away and a planned stop with a table in memory.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.instance.FleetInstance;
@@ -151,9 +152,16 @@
         }
     }
 
-    /** Whether calls to any worker fail. */
-    public boolean hasSilentWorkers() {
-        return fleet.workers.values().stream().anyMatch(worker -> worker.silent);
+    /** Whether the worker has answered this owner. */
+    public boolean isOpen(WorkerId id) {
+        WorkerState worker = fleet.workers.get(id);
+        return worker != null && worker.open;
+    }
+
+    /** Whether the instances of a pool are switched off. */
+    public boolean isStandby(PoolId pool) {
+        PoolPolicy pooled = policy.pools().get(pool);
+        return pooled != null && pooled.standby();
     }
 
     /** Whether every known worker has answered this owner, and there are any. */
@@ -316,15 +324,6 @@
         return waiting;
     }
 
-    /** Ids of jobs that ended before the time and hold nothing. */
-    public List<JobId> endedBefore(long millis) {
-        return fleet.jobs.values().stream()
-                .filter(job -> job.phase.isFinal() && job.endedMillis < millis)
-                .filter(job -> !job.occupiesWorkers())
-                .map(job -> job.definition.id())
-                .toList();
-    }
-
     /** Forgets a job whose rows are deleted. */
     public void forget(JobId id) {
         fleet.jobs.remove(id);
@@ -459,7 +458,6 @@
 
     private void end(JobRun job, JobPhase phase, long nowMillis) {
         job.phase = phase;
-        job.endedMillis = nowMillis;
         fleet.deactivate(job);
         changed.add(job);
         for (int occurrence = 0; occurrence < job.occurrenceCount(); occurrence++) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
@@ -19,7 +19,6 @@
     private final List<List<StepRun>> occurrences = new ArrayList<>();
 
     JobPhase phase = JobPhase.QUEUED;
-    long endedMillis;
 
     /** Whether no task may start yet, because an earlier owner's runs are not all known. */
     boolean held;
@@ -72,14 +71,6 @@
         return occurrences.stream().anyMatch(steps -> steps.stream().anyMatch(StepRun::hasBegun));
     }
 
-    /** Whether any task may still run on a worker. */
-    boolean occupiesWorkers() {
-        return occurrences.stream()
-                .flatMap(List::stream)
-                .flatMap(step -> step.tasks.stream())
-                .anyMatch(TrackedTask::occupies);
-    }
-
     void restore(JobProgress progress, long nowMillis) {
         phase = progress.phase();
         for (StepProgress step : progress.steps()) {
@@ -88,9 +79,6 @@
                 occurrences.get(step.occurrence()).get(step.step()).restore(step, nowMillis);
             }
         }
-        if (phase.isFinal()) {
-            endedMillis = nowMillis;
-        }
     }
 
     JobProgress progress() {
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
@@ -239,7 +239,7 @@
     private List<FleetInstance> standby(long nowMillis) {
         List<FleetInstance> found = new ArrayList<>();
         for (FleetInstance instance : instances) {
-            if (isStandby(instance.pool())
+            if (scheduler.isStandby(instance.pool())
                     && instance.up()
                     && !pending.containsKey(instance.id())
                     && nowMillis >= notBefore.getOrDefault(instance.id(), Long.MIN_VALUE)) {
@@ -249,11 +249,6 @@
         return found;
     }
 
-    private boolean isStandby(PoolId pool) {
-        PoolPolicy policy = scheduler.policy().pools().get(pool);
-        return policy != null && policy.standby();
-    }
-
     /** Gives standby instances to the pools that lack most. */
     private void supply(
             List<FleetInstance> standby, Map<PoolId, Balance> balances, List<MoveOrder> orders) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -44,9 +44,9 @@
      *
      * @param ownerTurn least time between orders of two owners for one instance
      * @param maintenance how long a maintenance takes
-     * @param move how long a move takes
+     * @param statusRetention how long the state of an ended job can be asked for
      */
-    public record Times(long ownerTurn, long maintenance, long move) {}
+    public record Times(long ownerTurn, long maintenance, long statusRetention) {}
 
     /**
      * Where workers are listed.
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceRounds.java
@@ -43,6 +43,7 @@
     private final long firstOrderMillis;
     private Map<Long, Set<InstanceId>> recorded;
     private boolean listing;
+    private List<FleetInstance> latest;
     private long listedMillis = Long.MIN_VALUE / 2;
 
     InstanceRounds(
@@ -98,6 +99,18 @@
         clock.after(ROUND_MILLIS, this::round);
     }
 
+    /**
+     * Whether every worker that an instance runs has answered this owner. Their entries can be
+     * missing while they run tasks of an earlier owner.
+     */
+    boolean allWorkersOpen() {
+        return latest != null
+                && latest.stream()
+                        .filter(FleetInstance::up)
+                        .flatMap(instance -> instance.worker().stream())
+                        .allMatch(term.scheduler()::isOpen);
+    }
+
     private void open(long number, PolicyFollower.ReceivedWave wave) {
         planners.computeIfAbsent(
                 number,
@@ -136,6 +149,10 @@
     }
 
     private void take(List<FleetInstance> list, long askedMillis) {
+        latest =
+                list.stream()
+                        .filter(instance -> !term.scheduler().isStandby(instance.pool()))
+                        .toList();
         term.scheduler().instances(list, clock.nowMillis()).forEach(this::close);
         balancer.listed(list, askedMillis, clock.nowMillis()).forEach(this::close);
         for (MaintenancePlanner planner : planners.values()) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -28,6 +28,7 @@
     private OwnerTerm term;
     private long fencedVersion = -1;
     private boolean stopped;
+    private volatile boolean owner;
 
     /** Creates a service that owns nothing. */
     public OwnerService(FleetContext context, PolicyFollower policies) {
@@ -60,9 +61,15 @@
         return keeper.release();
     }
 
+    /** Ends the term and keeps the lease, as the end of the process would. */
+    void abandon() {
+        stopped = true;
+        endTerm();
+    }
+
     /** Whether this instance owns the fleet. */
     public boolean isOwner() {
-        return term != null;
+        return owner;
     }
 
     private void policy(FleetPolicy policy) {
@@ -100,6 +107,7 @@
         }
         endTerm();
         term = new OwnerTerm(context, policies, lease.get(), () -> fenced(version));
+        owner = true;
         context.metrics().owner(true);
         term.start();
     }
@@ -113,6 +121,7 @@
         if (term != null) {
             term.stop();
             term = null;
+            owner = false;
             context.metrics().owner(false);
         }
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -3,14 +3,10 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import org.quetzalscale.core.error.ErrorKind;
-import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.lease.Lease;
@@ -26,7 +22,6 @@
 import org.quetzalscale.core.task.JobProgress;
 import org.quetzalscale.core.task.StartOrder;
 import org.quetzalscale.core.task.TaskRef;
-import org.quetzalscale.core.task.WorkerEntry;
 import org.tinylog.Logger;
 
 /**
@@ -36,10 +31,13 @@
 final class OwnerTerm implements WorkerSession.Term, Orders {
     private static final int FEED_WAIT_MILLIS = 1_000;
     private static final long RETRY_MILLIS = 100;
-    private static final long DIRECTORY_MILLIS = 250;
     private static final long PLAN_DELAY_MILLIS = 2;
     private static final long PLAN_INTERVAL_MILLIS = 100;
     private static final long PUBLISH_MILLIS = 800;
+
+    /** How long a term waits for the list of instances before it goes by the entries alone. */
+    private static final long INSTANCE_LIST_MILLIS = 2_000;
+
     private static final long MAX_AGE_MILLIS = 600_000;
 
     /** More starts than an owner orders of one task between two renewals of its lease. */
@@ -49,10 +47,12 @@
     private final LoopClock clock;
     private final Lease lease;
     private final FleetScheduler scheduler;
+    private final EndedJobs endedJobs;
     private final ProgressRecorder recorder;
     private final InstanceRounds instances;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
+    private final WorkerDirectory workers;
     private final long takenMillis;
     private boolean ended;
     private boolean scheduling;
@@ -70,9 +70,23 @@
                         policies.current().orElseThrow(),
                         this,
                         lease.generation() * RUNS_PER_GENERATION);
+        this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
+        this.endedJobs =
+                new EndedJobs(
+                        context.table(),
+                        clock,
+                        lease.fence(),
+                        this,
+                        context.times().statusRetention());
         this.recorder =
                 new ProgressRecorder(
-                        context.table(), clock, lease.fence(), scheduler, sessions, onFenced);
+                        context.table(),
+                        clock,
+                        lease.fence(),
+                        scheduler,
+                        sessions,
+                        endedJobs::add,
+                        onFenced);
         this.instances = new InstanceRounds(context, policies, lease, this, sessions);
     }
 
@@ -178,7 +192,7 @@
         }
         Map<JobId, JobProgress> progress = new HashMap<>();
         for (Row row : progressRows) {
-            decoded(row.key(), () -> JobDocuments.PROGRESS.decode(row.value()))
+            StoreFailures.decoded(row.key(), () -> JobDocuments.PROGRESS.decode(row.value()))
                     .ifPresent(value -> progress.put(value.job(), value));
         }
         for (Row row : jobs.rows()) {
@@ -192,10 +206,11 @@
                 progress.size(),
                 clock.nowMillis() - takenMillis);
         followJobs(jobs.version());
-        readWorkers();
+        workers.start();
         planRegularly();
         publishRegularly();
         instances.start();
+        endedJobs.round();
     }
 
     private void apply(RowKey key, String value, Map<JobId, JobProgress> progress) {
@@ -205,13 +220,15 @@
         }
         JobProgress known = progress.get(id.get());
         if (known != null && known.phase().isFinal()) {
+            endedJobs.add(id.get());
             return;
         }
         if (FleetRows.isCancellation(key)) {
             scheduler.cancel(id.get(), clock.nowMillis());
             return;
         }
-        Optional<JobDefinition> job = decoded(key, () -> JobDocuments.DEFINITION.decode(value));
+        Optional<JobDefinition> job =
+                StoreFailures.decoded(key, () -> JobDocuments.DEFINITION.decode(value));
         if (job.isEmpty()) {
             return;
         }
@@ -225,15 +242,6 @@
                 now);
     }
 
-    private static <T> Optional<T> decoded(RowKey key, java.util.function.Supplier<T> decode) {
-        try {
-            return Optional.of(decode.get());
-        } catch (QuetzalscaleException e) {
-            Logger.error("event=row_ignored key={} cause=\"{}\"", key, e.getMessage());
-            return Optional.empty();
-        }
-    }
-
     private void followJobs(long version) {
         if (ended) {
             return;
@@ -249,7 +257,7 @@
                                 changes.rows().forEach(this::changed);
                                 planSoon();
                                 followJobs(changes.version());
-                            } else if (isHistoryLost(failure)) {
+                            } else if (StoreFailures.isHistoryLost(failure)) {
                                 rereadJobs();
                             } else {
                                 clock.after(RETRY_MILLIS, () -> followJobs(version));
@@ -279,108 +287,6 @@
                         });
     }
 
-    private void readWorkers() {
-        if (ended) {
-            return;
-        }
-        context.table()
-                .snapshot(context.workers().prefix())
-                .whenComplete(
-                        (rows, failure) -> {
-                            if (failure != null) {
-                                clock.after(RETRY_MILLIS, this::readWorkers);
-                                return;
-                            }
-                            Set<WorkerId> listed = new HashSet<>();
-                            rows.rows().forEach(row -> worker(row.key(), row.value(), listed));
-                            sessions.keySet().stream()
-                                    .filter(id -> !listed.contains(id))
-                                    .toList()
-                                    .forEach(this::unlist);
-                            clock.after(DIRECTORY_MILLIS, () -> followWorkers(rows.version()));
-                        });
-    }
-
-    private void followWorkers(long version) {
-        if (ended) {
-            return;
-        }
-        context.table()
-                .after(context.workers().table(), version, 0)
-                .whenComplete(
-                        (changes, failure) -> {
-                            if (failure != null && isHistoryLost(failure)) {
-                                readWorkers();
-                                return;
-                            }
-                            long next = version;
-                            if (failure == null) {
-                                changes.rows().forEach(this::workerChanged);
-                                next = changes.version();
-                            }
-                            long from = next;
-                            clock.after(DIRECTORY_MILLIS, () -> followWorkers(from));
-                        });
-    }
-
-    private void workerChanged(ChangedRow row) {
-        if (row.value().isPresent()) {
-            worker(row.key(), row.value().get(), new HashSet<>());
-            return;
-        }
-        context.workers().idOf(row.key()).ifPresent(this::unlist);
-    }
-
-    private void worker(RowKey key, String value, Set<WorkerId> listed) {
-        Optional<String> name = context.workers().nameOf(key);
-        if (name.isEmpty()) {
-            return;
-        }
-        Optional<WorkerEntry> entry =
-                decoded(key, () -> context.workers().codec().apply(name.get(), value));
-        if (entry.isEmpty()) {
-            return;
-        }
-        WorkerId id = entry.get().id();
-        listed.add(id);
-        WorkerSession session = sessions.get(id);
-        if (session != null && session.hasEnded(entry.get())) {
-            return;
-        }
-        scheduler.listed(entry.get(), clock.nowMillis());
-        if (session != null && !session.isClosed()) {
-            session.update(entry.get());
-            return;
-        }
-        Logger.info(
-                "event=worker_listed worker={} pool={} draining={}",
-                id,
-                entry.get().pool(),
-                entry.get().draining());
-        WorkerSession opened =
-                new WorkerSession(
-                        this,
-                        context,
-                        entry.get(),
-                        fence(),
-                        takenMillis + WorkerSession.inheritedBoundMillis());
-        sessions.put(id, opened);
-        opened.start();
-    }
-
-    private void unlist(WorkerId id) {
-        WorkerSession session = sessions.get(id);
-        if (session != null && !session.isClosed()) {
-            Logger.info("event=worker_unlisted worker={}", id);
-            session.unlisted();
-            scheduler.unlisted(id);
-        }
-    }
-
-    private static boolean isHistoryLost(Throwable failure) {
-        return QuetzalscaleException.from(failure).kind() == ErrorKind.REVISION_TOO_OLD;
-    }
-
     private void planRegularly() {
         if (ended) {
             return;
@@ -395,14 +301,23 @@
             return;
         }
         long now = clock.nowMillis();
-        if (now - takenMillis >= WorkerSession.inheritedBoundMillis()
-                || scheduler.allWorkersOpen()) {
+        if (inheritedRunsKnown(now)) {
             scheduler.releaseInherited();
         }
         scheduler.plan(now, clock.epochMillis().getAsLong());
         recorder.flush();
     }
 
+    /** Whether no run of an earlier owner can exist that this one does not know. */
+    private boolean inheritedRunsKnown(long nowMillis) {
+        long age = nowMillis - takenMillis;
+        if (age >= WorkerSession.inheritedBoundMillis()) {
+            return true;
+        }
+        boolean listKnown = instances.allWorkersOpen() || age >= INSTANCE_LIST_MILLIS;
+        return listKnown && scheduler.allWorkersOpen();
+    }
+
     private void publishRegularly() {
         if (ended) {
             return;
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyFollower.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyFollower.java
@@ -7,8 +7,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.quetzalscale.core.error.ErrorKind;
-import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.table.ChangedRow;
@@ -125,9 +123,7 @@
             follow(changes.version());
             return;
         }
-        boolean historyLost =
-                QuetzalscaleException.from(failure).kind() == ErrorKind.REVISION_TOO_OLD;
-        retry(failure, historyLost ? this::load : () -> follow(version));
+        retry(failure, StoreFailures.isHistoryLost(failure) ? this::load : () -> follow(version));
     }
 
     private void confirmed() {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -28,6 +30,7 @@
     private final Condition fence;
     private final FleetScheduler scheduler;
     private final Map<?, WorkerSession> sessions;
+    private final Consumer<JobId> onEnded;
     private final Runnable onFenced;
     private boolean writing;
     private boolean stopped;
@@ -38,12 +41,14 @@
             Condition fence,
             FleetScheduler scheduler,
             Map<?, WorkerSession> sessions,
+            Consumer<JobId> onEnded,
             Runnable onFenced) {
         this.table = table;
         this.clock = clock;
         this.fence = fence;
         this.scheduler = scheduler;
         this.sessions = sessions;
+        this.onEnded = onEnded;
         this.onFenced = onFenced;
     }
 
@@ -111,6 +116,7 @@
         }
         for (JobProgress progress : changed) {
             if (progress.phase().isFinal()) {
+                onEnded.accept(progress.job());
                 Logger.info("event=job_ended job={} phase={}", progress.job(), progress.phase());
             }
         }
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
@@ -0,0 +1,87 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Changes;
+import org.quetzalscale.core.table.CommitResult;
+import org.quetzalscale.core.table.FeedTable;
+import org.quetzalscale.core.table.InMemoryTable;
+import org.quetzalscale.core.table.Mutation;
+import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.RowSnapshot;
+import org.quetzalscale.core.table.Transaction;
+
+/** A table in memory whose changes can be followed, and which can be taken away. */
+final class InMemoryFeedTable implements FeedTable {
+    private final InMemoryTable table = new InMemoryTable();
+    private final List<ChangedRow> changes = new ArrayList<>();
+    volatile boolean away;
+
+    @Override
+    public synchronized CompletionStage<Optional<Row>> read(RowKey key) {
+        return away ? unavailable() : table.read(key);
+    }
+
+    @Override
+    public synchronized CompletionStage<List<Row>> scan(String prefix) {
+        return away ? unavailable() : table.scan(prefix);
+    }
+
+    @Override
+    public synchronized CompletionStage<RowSnapshot> snapshot(String prefix) {
+        return scan(prefix).thenApply(rows -> new RowSnapshot(rows, table.version()));
+    }
+
+    @Override
+    public synchronized CompletionStage<CommitResult> commit(Transaction transaction) {
+        if (away) {
+            return unavailable();
+        }
+        return table.commit(transaction)
+                .thenApply(
+                        result -> {
+                            if (result.isCommitted()) {
+                                transaction.mutations().forEach(this::record);
+                            }
+                            return result;
+                        });
+    }
+
+    /** Answers at once; the services under test ask again. */
+    @Override
+    public synchronized CompletionStage<Changes> after(String name, long version, int waitMillis) {
+        if (away) {
+            return unavailable();
+        }
+        List<ChangedRow> found =
+                changes.stream()
+                        .filter(row -> row.version() > version)
+                        .filter(row -> row.key().value().startsWith(name + "/"))
+                        .toList();
+        CompletableFuture<Changes> reply = new CompletableFuture<>();
+        Changes answer = new Changes(found, table.version());
+        CompletableFuture.delayedExecutor(5, java.util.concurrent.TimeUnit.MILLISECONDS)
+                .execute(() -> reply.complete(answer));
+        return reply;
+    }
+
+    void put(String key, String value) {
+        commit(Transaction.builder().put(new RowKey(key), value).build());
+    }
+
+    private void record(Mutation mutation) {
+        changes.add(new ChangedRow(mutation.key(), table.version(), mutation.value()));
+    }
+
+    private static <T> CompletionStage<T> unavailable() {
+        return CompletableFuture.failedFuture(
+                new QuetzalscaleException(ErrorKind.STORE_UNAVAILABLE, "away"));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -0,0 +1,276 @@
+package org.quetzalscale.daemon.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.PoolId;
+import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.id.ZoneId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceAnswer;
+import org.quetzalscale.core.instance.InstanceCalls;
+import org.quetzalscale.core.instance.InstanceState;
+import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.schedule.PoolPolicy;
+import org.quetzalscale.core.schedule.QueuePolicy;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.JobPhase;
+import org.quetzalscale.core.task.Recurrence;
+import org.quetzalscale.core.task.RunEnd;
+import org.quetzalscale.core.task.StepDefinition;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerEntry;
+import org.quetzalscale.core.time.TimeSource;
+import org.quetzalscale.net.EventLoops;
+
+/** Owners with a table in memory and one worker, from submission to the recorded end. */
+final class OwnerServiceTest {
+    private static final PoolId POOL = new PoolId("lab");
+    private static final QueueId QUEUE = new QueueId("quick");
+    private static final JobId JOB = new JobId("00000000000000aa");
+    private static final TaskRef FIRST = new TaskRef(JOB, 0, 0, 0);
+    private static final TaskRef SECOND = new TaskRef(JOB, 0, 1, 0);
+    private static final long LIMIT_MILLIS = 20_000;
+
+    private final InMemoryFeedTable table = new InMemoryFeedTable();
+    private final FakeWorker worker = new FakeWorker();
+    private final EventLoopGroup group = EventLoops.create(1, "test");
+    private final LoopClock clock =
+            new LoopClock(group.next(), TimeSource.system(), System::currentTimeMillis);
+    private final JobGateway gateway = new JobGateway(table, clock);
+
+    /** One node's follower and owner. */
+    private final class Node {
+        final PolicyFollower policies = new PolicyFollower(table, clock, operatorRows());
+        final OwnerService owner;
+
+        Node(String name) {
+            owner = new OwnerService(context(name), policies);
+            run(policies::start);
+            run(owner::start);
+        }
+
+        void stop() {
+            run(owner::stop);
+            run(policies::stop);
+        }
+
+        /** Ends without giving anything back, as a killed process does. */
+        void vanish() {
+            run(policies::stop);
+            run(owner::abandon);
+        }
+    }
+
+    private static final class Instances implements InstanceCalls {
+        @Override
+        public CompletionStage<List<FleetInstance>> list() {
+            return CompletableFuture.completedFuture(
+                    List.of(
+                            new FleetInstance(
+                                    new InstanceId("m-1"),
+                                    POOL,
+                                    InstanceState.UP,
+                                    "",
+                                    Optional.of(new WorkerId("i-1")))));
+        }
+
+        @Override
+        public CompletionStage<InstanceAnswer> move(InstanceId id, PoolId pool, long fence) {
+            return CompletableFuture.completedFuture(InstanceAnswer.BUSY);
+        }
+
+        @Override
+        public CompletionStage<InstanceAnswer> maintain(InstanceId id, long wave, long fence) {
+            return CompletableFuture.completedFuture(InstanceAnswer.BUSY);
+        }
+    }
+
+    @BeforeEach
+    void configure() {
+        table.put("op//config", "policy");
+        table.put("servers//i-1", "entry");
+    }
+
+    @AfterEach
+    void close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private static PolicyFollower.OperatorRows operatorRows() {
+        FleetPolicy policy =
+                new FleetPolicy(
+                        1,
+                        List.of(),
+                        Map.of(QUEUE, new QueuePolicy(QUEUE, POOL, 0, 3, 1.6, 600, true)),
+                        Map.of(POOL, new PoolPolicy(POOL, false)),
+                        Map.of(),
+                        Map.of());
+        return new PolicyFollower.OperatorRows(
+                "op", "op//", new RowKey("op//config"), "op//wave/", text -> policy, text -> null);
+    }
+
+    private FleetContext context(String name) {
+        return new FleetContext(
+                new InstanceId(name),
+                clock,
+                table,
+                worker,
+                new FleetContext.WorkerRows(
+                        "servers", "servers//", (id, text) -> OwnerServiceTest.entry(id)),
+                new Instances(),
+                new FleetContext.WaveStatusRows(
+                        number -> new RowKey("status//wave/" + number), (number, done) -> ""),
+                new FleetContext.Times(3_000, 2_000, 120_000),
+                new FleetMetrics());
+    }
+
+    private static WorkerEntry entry(String id) {
+        return new WorkerEntry(
+                new WorkerId(id),
+                POOL,
+                new ZoneId("z"),
+                new InetSocketAddress("127.0.0.1", 1),
+                new Resources(8, 1_000, 0, 0),
+                List.of("a", "r"),
+                "r",
+                false,
+                0,
+                1);
+    }
+
+    private static JobDefinition job() {
+        StepDefinition first = step(List.of());
+        StepDefinition second = step(List.of(0));
+        return new JobDefinition(
+                JOB,
+                QUEUE,
+                POOL,
+                Optional.empty(),
+                System.currentTimeMillis(),
+                "spec",
+                List.of(first, second),
+                Recurrence.NONE);
+    }
+
+    private static StepDefinition step(List<Integer> after) {
+        return new StepDefinition(
+                1,
+                new Resources(1, 10, 0, 0),
+                100,
+                after,
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                0,
+                false,
+                0);
+    }
+
+    private void run(Runnable action) {
+        clock.loop().execute(action);
+    }
+
+    private void submit() {
+        gateway.submit(job(), clock.nowMillis() + 1_000).toCompletableFuture().join();
+    }
+
+    private Optional<JobPhase> phase() {
+        return gateway.phase(JOB, clock.nowMillis() + 1_000).toCompletableFuture().join();
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long deadline = System.nanoTime() / 1_000_000L + LIMIT_MILLIS;
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime() / 1_000_000L).as(what).isLessThan(deadline);
+            java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
+        }
+    }
+
+    /** Guards against a job that is shown as completed before its end is recorded, or never. */
+    @Test
+    void runsAJobOnceAndRecordsItsEnd() {
+        Node node = new Node("node-1");
+        submit();
+        submit();
+        await("first step", () -> worker.startsOf(FIRST) == 1);
+        assertThat(phase()).contains(JobPhase.QUEUED);
+        worker.end(FIRST, RunEnd.DONE);
+        await("second step", () -> worker.startsOf(SECOND) == 1);
+        worker.end(SECOND, RunEnd.DONE);
+
+        await("completion", () -> phase().equals(Optional.of(JobPhase.COMPLETED)));
+        await("acknowledgement", () -> worker.acknowledged() == 2);
+        assertThat(worker.starts).hasSize(2);
+        node.stop();
+    }
+
+    /** Guards against a second run of what an owner that vanished had started or recorded. */
+    @Test
+    void goesOnWhereAVanishedOwnerStopped() {
+        Node first = new Node("node-1");
+        submit();
+        await("first step", () -> worker.startsOf(FIRST) == 1);
+        worker.end(FIRST, RunEnd.DONE);
+        await("second step", () -> worker.startsOf(SECOND) == 1);
+        first.vanish();
+
+        Node second = new Node("node-2");
+        await("takeover", second.owner::isOwner);
+        await("recorded", () -> worker.acknowledged() == 1);
+        worker.end(SECOND, RunEnd.DONE);
+        await("completion", () -> phase().equals(Optional.of(JobPhase.COMPLETED)));
+        assertThat(worker.starts).hasSize(2);
+        second.stop();
+    }
+
+    /** Guards against an end that is acknowledged while it can not be recorded. */
+    @Test
+    void acknowledgesNothingWhileTheStoreIsAway() {
+        Node node = new Node("node-1");
+        submit();
+        await("first step", () -> worker.startsOf(FIRST) == 1);
+        table.away = true;
+        worker.end(FIRST, RunEnd.DONE);
+        await("the next step starts all the same", () -> worker.startsOf(SECOND) == 1);
+        assertThat(worker.acknowledged()).isZero();
+
+        table.away = false;
+        await("acknowledgement", () -> worker.acknowledged() == 1);
+        node.stop();
+    }
+
+    /** Guards against a fleet that waits for the lease of an owner that has given it back. */
+    @Test
+    void ownsTheFleetSoonAfterAPlannedStop() {
+        Node first = new Node("node-1");
+        await("ownership", first.owner::isOwner);
+        first.stop();
+
+        Node second = new Node("node-2");
+        long begun = clock.nowMillis();
+        await("takeover", second.owner::isOwner);
+        assertThat(clock.nowMillis() - begun).isLessThan(1_500);
+        second.stop();
+    }
+}
