Split the scheduler by its jobs

FleetScheduler keeps the events, JobLifecycle how tasks and jobs end, WorkerReports what a worker's lists mean.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -2,12 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
@@ -19,8 +16,6 @@
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
 import org.quetzalscale.core.task.OrderAnswer;
-import org.quetzalscale.core.task.RunEnd;
-import org.quetzalscale.core.task.RunningTask;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerEntry;
 import org.quetzalscale.core.task.WorkerReport;
@@ -36,19 +31,11 @@
  * <p>Times are milliseconds of one monotonic clock. Not safe for use by several threads.
  */
 public final class FleetScheduler {
-    /** A worker lists at most this many ends at once; others are then missing from both lists. */
-    private static final int MAX_LISTED_ENDS = 500;
-
-    private static final long STOP_RETRY_MILLIS = 400;
     private static final long AVOID_AFTER_REFUSAL_MILLIS = 300;
-    private static final long LASTING_RETRY_MILLIS = 100;
-    private static final long MAX_LASTING_RETRY_MILLIS = 800;
-    private static final int DEFAULT_MAX_ATTEMPTS = 3;
-
     private final FleetState fleet = new FleetState();
     private final RunTimeEstimator estimator = new RunTimeEstimator();
-    private final Set<JobRun> changed = new LinkedHashSet<>();
-    private final Orders orders;
+    private final JobLifecycle jobs;
+    private final WorkerReports reports;
     private final Dispatcher dispatcher;
     private final PaceControl pacing;
     private FleetPolicy policy;
@@ -61,7 +48,8 @@
      */
     public FleetScheduler(FleetPolicy policy, Orders orders, long runBase) {
         this.policy = policy;
-        this.orders = orders;
+        this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
+        this.reports = new WorkerReports(fleet, orders, jobs);
         this.dispatcher = new Dispatcher(fleet, orders, new WaitingOrder(estimator), runBase);
         this.pacing = new PaceControl(orders);
     }
@@ -93,7 +81,7 @@
     public void cancel(JobId id, long nowMillis) {
         JobRun job = fleet.jobs.get(id);
         if (job != null && !job.phase.isFinal()) {
-            end(job, JobPhase.CANCELLED, nowMillis);
+            jobs.end(job, JobPhase.CANCELLED, nowMillis);
         }
     }
 
@@ -128,7 +116,7 @@
         if (worker == null) {
             return;
         }
-        List.copyOf(worker.tasks.values()).forEach(task -> release(task, nowMillis));
+        List.copyOf(worker.tasks.values()).forEach(task -> jobs.release(task, nowMillis));
         worker.open = false;
         if (!worker.listed) {
             fleet.removeWorker(worker);
@@ -238,19 +226,7 @@
         incarnation(worker, report.bornEpochMillis(), nowMillis);
         worker.open = true;
         worker.silent = false;
-        worker.strays.clear();
-        Set<TaskRef> listed = new HashSet<>();
-        for (FinishedRun end : ends) {
-            listed.add(end.task());
-            ended(worker, end, nowMillis);
-        }
-        for (RunningTask running : report.running()) {
-            listed.add(running.task());
-            running(worker, running, nowMillis);
-        }
-        if (report.finished().size() < MAX_LISTED_ENDS) {
-            releaseMissing(worker, listed, sentMillis, nowMillis);
-        }
+        reports.take(worker, report, ends, sentMillis, nowMillis);
         pacing.adjust(worker, nowMillis);
     }
 
@@ -269,7 +245,7 @@
         }
         if (answer == OrderAnswer.UNKNOWN) {
             if (task.state == TrackedTask.State.ORDERED) {
-                stop(task, nowMillis);
+                jobs.stop(task, nowMillis);
             }
             return;
         }
@@ -278,7 +254,7 @@
             worker.avoidUntilMillis = nowMillis + AVOID_AFTER_REFUSAL_MILLIS;
         }
         if (task.state == TrackedTask.State.ORDERED || task.state == TrackedTask.State.STOPPING) {
-            release(task, nowMillis);
+            jobs.release(task, nowMillis);
         }
     }
 
@@ -297,21 +273,18 @@
 
     /** Sends the orders that are due. */
     public void plan(long nowMillis, long epochMillis) {
-        repeatStops(nowMillis);
+        jobs.repeatStops(nowMillis);
         dispatcher.dispatch(policy, nowMillis, epochMillis);
     }
 
     /** What is to be recorded since the last call. */
     public List<JobProgress> takeChanged() {
-        List<JobProgress> progress = new ArrayList<>(changed.size());
-        changed.forEach(job -> progress.add(job.progress()));
-        changed.clear();
-        return progress;
+        return jobs.takeChanged();
     }
 
     /** Whether anything is to be recorded. */
     public boolean hasChanged() {
-        return !changed.isEmpty();
+        return jobs.hasChanged();
     }
 
     /** Jobs of each queue that have not begun, without those that wait for a due time. */
@@ -338,16 +311,12 @@
         return estimator;
     }
 
-    FleetPolicy policy() {
-        return policy;
+    JobLifecycle jobs() {
+        return jobs;
     }
 
-    /** Stops a run, so that the task can be placed anew. */
-    void stop(TrackedTask task, long nowMillis) {
-        task.enter(TrackedTask.State.STOPPING, nowMillis);
-        task.stopSentMillis = nowMillis;
-        task.stopAnsweredMillis = 0;
-        orders.stop(task.worker, task.ref, task.run);
+    FleetPolicy policy() {
+        return policy;
     }
 
     /**
@@ -368,181 +337,7 @@
         worker.failuresInRow = 0;
         for (TrackedTask task : List.copyOf(worker.tasks.values())) {
             if (task.state == TrackedTask.State.RUNNING) {
-                release(task, nowMillis);
-            }
-        }
-    }
-
-    private void release(TrackedTask task, long nowMillis) {
-        fleet.vacate(task, nowMillis);
-    }
-
-    private void ended(WorkerState worker, FinishedRun end, long nowMillis) {
-        TrackedTask task = fleet.task(end.task());
-        if (task == null || task.state == TrackedTask.State.DONE) {
-            return;
-        }
-        boolean current = task.occupies() && worker.entry.id().equals(task.worker);
-        if (end.end() == RunEnd.DONE) {
-            succeeded(task, worker, current && task.run == end.run(), nowMillis);
-            return;
-        }
-        if (current && task.run > end.run()) {
-            return;
-        }
-        if (current) {
-            release(task, nowMillis);
-        }
-        task.run = Math.max(task.run, end.run());
-        if (!end.checkpoint().isEmpty()) {
-            task.checkpoint = end.checkpoint();
-            task.step.markBegun();
-            changed.add(task.step.job);
-        }
-        if (end.end() == RunEnd.FAILED) {
-            failed(task, end.run(), worker, nowMillis);
-        }
-    }
-
-    private void succeeded(
-            TrackedTask task, WorkerState worker, boolean currentRun, long nowMillis) {
-        JobRun job = task.step.job;
-        worker.failuresInRow = 0;
-        if (currentRun) {
-            estimator.observe(job.definition.queue(), nowMillis - task.sinceMillis);
-        }
-        List<TrackedTask> finished = task.step.definition.gang() ? task.step.tasks : List.of(task);
-        for (TrackedTask member : finished) {
-            finish(member, currentRun || member != task, nowMillis);
-        }
-        changed.add(job);
-        if (!job.phase.isFinal() && job.allDone()) {
-            end(job, JobPhase.COMPLETED, nowMillis);
-        }
-    }
-
-    /** Marks a task done; a second run that may exist elsewhere is stopped. */
-    private void finish(TrackedTask task, boolean ended, long nowMillis) {
-        if (task.occupies()) {
-            if (!ended) {
-                orders.stop(task.worker, task.ref, task.run);
-            }
-            release(task, nowMillis);
-        }
-        task.step.markDone(task, nowMillis);
-    }
-
-    private void failed(TrackedTask task, long run, WorkerState worker, long nowMillis) {
-        JobRun job = task.step.job;
-        boolean lasting = task.step.definition.lasting();
-        if (!lasting && !task.failedRuns.add(run)) {
-            return;
-        }
-        task.step.markBegun();
-        task.failures++;
-        task.lastFailedOn = worker.entry.id();
-        worker.failuresInRow++;
-        worker.lastFailureMillis = nowMillis;
-        if (lasting) {
-            long wait = LASTING_RETRY_MILLIS << Math.min(task.failures, 4);
-            task.notBeforeMillis = nowMillis + Math.min(wait, MAX_LASTING_RETRY_MILLIS);
-            return;
-        }
-        changed.add(job);
-        QueuePolicy queue = policy.queues().get(job.definition.queue());
-        int maxAttempts = queue == null ? DEFAULT_MAX_ATTEMPTS : queue.maxAttempts();
-        if (task.failures >= maxAttempts && !job.phase.isFinal()) {
-            end(job, JobPhase.FAILED, nowMillis);
-        }
-    }
-
-    private void end(JobRun job, JobPhase phase, long nowMillis) {
-        job.phase = phase;
-        fleet.deactivate(job);
-        changed.add(job);
-        for (int occurrence = 0; occurrence < job.occurrenceCount(); occurrence++) {
-            for (StepRun step : job.steps(occurrence)) {
-                for (TrackedTask task : step.tasks) {
-                    endTask(task, nowMillis);
-                }
-            }
-        }
-    }
-
-    private void endTask(TrackedTask task, long nowMillis) {
-        if (task.state == TrackedTask.State.WAITING) {
-            task.enter(TrackedTask.State.DROPPED, nowMillis);
-        } else if (task.state == TrackedTask.State.ORDERED
-                || task.state == TrackedTask.State.RUNNING) {
-            stop(task, nowMillis);
-        }
-    }
-
-    private void running(WorkerState worker, RunningTask running, long nowMillis) {
-        TrackedTask task = fleet.task(running.task());
-        boolean here = task != null && worker.entry.id().equals(task.worker);
-        if (here && task.run == running.run()) {
-            if (task.state == TrackedTask.State.ORDERED) {
-                task.enter(TrackedTask.State.RUNNING, nowMillis);
-            }
-            observe(task, running, nowMillis);
-            return;
-        }
-        if (task != null && task.state == TrackedTask.State.WAITING && running.run() >= task.run) {
-            adopt(task, worker, running, nowMillis);
-            return;
-        }
-        worker.strays.put(
-                running, task == null ? worker.entry.capacity() : task.step.definition.reserved());
-        orders.stop(worker.entry.id(), running.task(), running.run());
-    }
-
-    /** Takes over a run that an earlier owner started, or one whose order was late. */
-    private void adopt(TrackedTask task, WorkerState worker, RunningTask running, long nowMillis) {
-        task.run = running.run();
-        task.step.markBegun();
-        fleet.occupy(task, worker, TrackedTask.State.RUNNING, nowMillis);
-        observe(task, running, nowMillis);
-    }
-
-    private static void observe(TrackedTask task, RunningTask running, long nowMillis) {
-        if (running.percent() != task.percent) {
-            task.percent = running.percent();
-            task.progressedMillis = nowMillis;
-        }
-        task.load = running.load();
-        if (!running.checkpoint().isEmpty()) {
-            task.checkpoint = running.checkpoint();
-        }
-    }
-
-    private void releaseMissing(
-            WorkerState worker, Set<TaskRef> listed, long sentMillis, long nowMillis) {
-        for (TrackedTask task : List.copyOf(worker.tasks.values())) {
-            if (listed.contains(task.ref)) {
-                continue;
-            }
-            boolean confirmedBefore =
-                    task.state == TrackedTask.State.RUNNING && task.sinceMillis < sentMillis;
-            boolean stoppedBefore =
-                    task.state == TrackedTask.State.STOPPING
-                            && task.stopAnsweredMillis != 0
-                            && task.stopAnsweredMillis < sentMillis;
-            if (confirmedBefore || stoppedBefore) {
-                release(task, nowMillis);
-            }
-        }
-    }
-
-    private void repeatStops(long nowMillis) {
-        for (WorkerState worker : fleet.workers.values()) {
-            for (TrackedTask task : worker.tasks.values()) {
-                if (task.state == TrackedTask.State.STOPPING
-                        && task.stopAnsweredMillis == 0
-                        && nowMillis - task.stopSentMillis >= STOP_RETRY_MILLIS) {
-                    task.stopSentMillis = nowMillis;
-                    orders.stop(task.worker, task.ref, task.run);
-                }
+                jobs.release(task, nowMillis);
             }
         }
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -287,7 +287,7 @@
                     && task.isAtWork()
                     && worker.tasksOf(task.step) > budget
                     && budget().permitsStop(task)) {
-                scheduler.stop(task, nowMillis);
+                scheduler.jobs().stop(task, nowMillis);
             }
         }
     }
