Start tasks that stand still again on another worker

Cause: a worker whose tasks stand still lists them and answers, so nothing ended their runs; jobs waited until the fault was over.

Change: StallDetector stops a task without progress for 2 s; its worker gets none for 3 s. Fillers, gangs and tasks at work are left alone.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -36,6 +36,7 @@
     private final RunTimeEstimator estimator = new RunTimeEstimator();
     private final JobLifecycle jobs;
     private final WorkerReports reports;
+    private final StallDetector stalls;
     private final Dispatcher dispatcher;
     private final PaceControl pacing;
     private FleetPolicy policy;
@@ -50,6 +51,7 @@
         this.policy = policy;
         this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
         this.reports = new WorkerReports(fleet, orders, jobs);
+        this.stalls = new StallDetector(jobs);
         this.dispatcher = new Dispatcher(fleet, orders, new WaitingOrder(estimator), runBase);
         this.pacing = new PaceControl(orders);
     }
@@ -227,6 +229,7 @@
         worker.open = true;
         worker.silent = false;
         reports.take(worker, report, ends, sentMillis, nowMillis);
+        stalls.check(worker, nowMillis);
         pacing.adjust(worker, nowMillis);
     }
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -352,6 +352,61 @@
         }
     }
 
+    @Nested
+    final class StalledTasks {
+        private void reportAt(int worker, RecordedOrders.Start start, int percent) {
+            report(
+                    worker,
+                    List.of(
+                            new RunningTask(
+                                    start.order().task(), start.order().run(), "", percent, 0)),
+                    List.of());
+        }
+
+        /** Guards against a task that waits for ever on a worker where tasks stand still. */
+        @Test
+        void startAgainOnAnotherWorker() {
+            open(1);
+            open(2);
+            add(Samples.job(1, Samples.step(1, 1)));
+            plan();
+            RecordedOrders.Start start = orders.last();
+            confirm(start);
+            now += 500;
+            reportAt(number(start.worker()), start, 20);
+            now += 3_000;
+            reportAt(number(start.worker()), start, 20);
+            assertThat(orders.stops).hasSize(1);
+
+            scheduler.stopAnswered(
+                    start.worker(),
+                    start.order().task(),
+                    start.order().run(),
+                    OrderAnswer.ACCEPTED,
+                    now);
+            now += 10;
+            report(number(start.worker()), List.of(), List.of(end(1, start, RunEnd.STOPPED)));
+            plan();
+            assertThat(orders.last().worker()).isNotEqualTo(start.worker());
+        }
+
+        /** Guards against work that is thrown away because its worker is slow. */
+        @Test
+        void areNotThoseThatProgressSlowly() {
+            open(1);
+            add(Samples.job(1, Samples.step(1, 1)));
+            plan();
+            RecordedOrders.Start start = orders.last();
+            confirm(start);
+            for (int percent = 1; percent < 20; percent++) {
+                now += 1_000;
+                reportAt(1, start, percent);
+            }
+
+            assertThat(orders.stops).isEmpty();
+        }
+    }
+
     @Nested
     final class LostWorkers {
         /** Guards against a second run while the first one's lease has not expired. */
