--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.quetzalscale.core.id.InstanceId;
+import java.util.Set;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
@@ -31,6 +32,9 @@
  * <p>Times are milliseconds of one monotonic clock. Not safe for use by several threads.
  */
 public final class FleetScheduler {
+    /** A worker that starts may be listed before the list of instances shows it. */
+    private static final long SILENCE_MILLIS = 250;
+
     private static final long AVOID_AFTER_REFUSAL_MILLIS = 300;
     private final FleetState fleet = new FleetState();
     private final RunTimeEstimator estimator = new RunTimeEstimator();
@@ -161,14 +165,17 @@
     }
 
     /**
-     * Takes the list of instances: a silent worker whose instance no longer runs it has ended.
+     * Takes the list of instances: a silent worker that no instance runs has ended. Its entry may
+     * stand for some time, and a later owner would wait for it.
      *
      * @return the workers that have ended
      */
     public List<WorkerId> instances(List<FleetInstance> instances, long nowMillis) {
-        Map<InstanceId, FleetInstance> byId = new HashMap<>();
+        Set<WorkerId> running = new HashSet<>();
         for (FleetInstance instance : instances) {
-            byId.put(instance.id(), instance);
+            if (instance.up()) {
+                instance.worker().ifPresent(running::add);
+            }
             WorkerState worker = instance.worker().map(fleet.workers::get).orElse(null);
             if (worker != null) {
                 worker.instance = instance.id();
@@ -176,17 +183,10 @@
         }
         List<WorkerId> ended = new ArrayList<>();
         for (WorkerState worker : List.copyOf(fleet.workers.values())) {
-            if (!worker.silent || worker.instance == null) {
-                continue;
-            }
-            FleetInstance instance = byId.get(worker.instance);
-            boolean runs =
-                    instance != null
-                            && instance.up()
-                            && instance.worker().filter(worker.entry.id()::equals).isPresent();
-            if (!runs) {
-                ended.add(worker.entry.id());
-                ended(worker.entry.id(), nowMillis);
+            WorkerId id = worker.entry.id();
+            if (worker.isSilentFor(SILENCE_MILLIS, nowMillis) && !running.contains(id)) {
+                ended.add(id);
+                ended(id, nowMillis);
             }
         }
         return ended;
@@ -202,10 +202,11 @@
     }
 
     /** Calls to the worker fail, or succeed again. */
-    public void silent(WorkerId id, boolean silent) {
+    public void silent(WorkerId id, boolean silent, long nowMillis) {
         WorkerState worker = fleet.workers.get(id);
         if (worker != null) {
             worker.silent = silent;
+            worker.silentSinceMillis = nowMillis;
         }
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -31,6 +31,8 @@
     /** Set while calls to the worker fail. */
     boolean silent;
 
+    long silentSinceMillis;
+
     /** No start before this time, after the worker refused one. */
     long avoidUntilMillis;
 
@@ -59,6 +61,10 @@
                 && nowMillis >= avoidUntilMillis;
     }
 
+    boolean isSilentFor(long millis, long nowMillis) {
+        return silent && nowMillis - silentSinceMillis >= millis;
+    }
+
     boolean isSuspect() {
         return failuresInRow >= SUSPECT_FAILURES;
     }
--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -409,6 +409,23 @@
 
     @Nested
     final class LostWorkers {
+        /**
+         * Guards against a takeover that waits for the lease of a worker which an earlier owner
+         * moved away, and whose entry still stands.
+         */
+        @Test
+        void areKnownToHaveEndedWhenNoInstanceRunsThem() {
+            scheduler.listed(Samples.worker(1), now);
+            open(2);
+            scheduler.silent(Samples.workerId(1), true, now);
+            assertThat(scheduler.allWorkersOpen()).isFalse();
+
+            now += 500;
+            assertThat(scheduler.instances(List.of(), now)).containsExactly(Samples.workerId(1));
+
+            assertThat(scheduler.allWorkersOpen()).isTrue();
+        }
+
         /** Guards against a second run while the first one's lease has not expired. */
         @Test
         void keepTheirTasksUntilTheLeaseIsOver() {
@@ -419,7 +436,7 @@
             open(2);
 
             scheduler.unlisted(Samples.workerId(1));
-            scheduler.silent(Samples.workerId(1), true);
+            scheduler.silent(Samples.workerId(1), true, now);
             plan();
             assertThat(orders.starts).hasSize(1);
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -131,7 +131,7 @@
             MaintenancePlanner planner = planner(1, 1);
             work(Samples.job(1, Samples.lasting(WORKERS, 1, 1)));
             planner.listed(allUp(), now, now);
-            scheduler.silent(Samples.workerId(2), true);
+            scheduler.silent(Samples.workerId(2), true, now);
 
             assertThat(planner.plan(now)).isEmpty();
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -16,6 +16,9 @@
     static final String JOBS_PREFIX = JOBS + "/" + SHARD + "/";
     static final String PROGRESS_PREFIX = "progress/" + SHARD + "/";
 
+    /** Names the last transaction of progress, so that none is carried out after a newer one. */
+    static final RowKey LAST_RECORD = RowKey.of("records", SHARD, "last");
+
     /** Number of waiting jobs by queue. */
     static final RowKey WAITING = RowKey.of("load", SHARD, "waiting");
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -333,7 +333,7 @@
             silent = true;
             Logger.warn(
                     "event=worker_silent worker={} cause=\"{}\"", entry.id(), error.getMessage());
-            term.scheduler().silent(entry.id(), true);
+            term.scheduler().silent(entry.id(), true, now);
         }
         boolean over = now >= leaseUntilMillis || error.kind() == ErrorKind.INVALID_STATE;
         if (over && !listed) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
@@ -24,6 +24,13 @@
     private final List<ChangedRow> changes = new ArrayList<>();
     volatile boolean away;
 
+    /**
+     * The next transaction of progress gets no answer, and is carried out when the test says so.
+     */
+    volatile boolean holdNextProgress;
+
+    private Transaction held;
+
     @Override
     public synchronized CompletionStage<Optional<Row>> read(RowKey key) {
         return away ? unavailable() : table.read(key);
@@ -44,6 +51,23 @@
         if (away) {
             return unavailable();
         }
+        if (holdNextProgress
+                && transaction.mutations().stream()
+                        .anyMatch(m -> m.key().value().startsWith("progress/"))) {
+            holdNextProgress = false;
+            held = transaction;
+            return CompletableFuture.failedFuture(
+                    new QuetzalscaleException(ErrorKind.STORE_OUTCOME_UNKNOWN, "no answer"));
+        }
+        return apply(transaction);
+    }
+
+    /** Carries out the transaction that was held. */
+    synchronized void releaseHeld() {
+        apply(held);
+    }
+
+    private CompletionStage<CommitResult> apply(Transaction transaction) {
         return table.commit(transaction)
                 .thenApply(
                         result -> {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -260,6 +260,28 @@
         node.stop();
     }
 
+    /**
+     * Guards against an older record that puts back a newer one: a write without an answer may be
+     * carried out later, and the next owner would start again what is done.
+     */
+    @Test
+    void keepsTheNewestRecordWhenAWriteIsLate() {
+        Node node = new Node("node-1");
+        submit();
+        await("first step", () -> worker.startsOf(FIRST) == 1);
+        table.holdNextProgress = true;
+        worker.end(FIRST, RunEnd.DONE);
+        await("second step", () -> worker.startsOf(SECOND) == 1);
+        await("first end recorded", () -> worker.acknowledged() == 1);
+        worker.end(SECOND, RunEnd.DONE);
+        await("completion", () -> phase().equals(Optional.of(JobPhase.COMPLETED)));
+
+        table.releaseHeld();
+
+        assertThat(phase()).contains(JobPhase.COMPLETED);
+        node.stop();
+    }
+
     /** Guards against a fleet that waits for the lease of an owner that has given it back. */
     @Test
     void ownsTheFleetSoonAfterAPlannedStop() {
