--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetPolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetPolicy.java
@@ -27,7 +27,7 @@
                 routes.stream()
                         .sorted(
                                 Comparator.comparingInt(
-                                        (QueueRoute route) -> -route.pathPrefix().length()))
+                                        (QueueRoute route) -> -route.prefix().length()))
                         .toList();
         queues = Map.copyOf(queues);
         pools = Map.copyOf(pools);
@@ -38,7 +38,7 @@
     /** The route with the longest prefix of the path. */
     public Optional<QueueRoute> route(String host, String path) {
         for (QueueRoute route : routes) {
-            if (route.host().equals(host) && path.startsWith(route.pathPrefix())) {
+            if (route.host().equals(host) && path.startsWith(route.prefix())) {
                 return Optional.of(route);
             }
         }
