Freeze the stand-in's instance list by version, not by time

Change: each change has a version, and a frozen list shows none after the version of the freeze. Test: hidesChangesOfTheMillisecondInWhichItFroze, which the old code cannot pass.

--- a/standin/src/main/java/org/quetzalscale/standin/platform/Machine.java
+++ b/standin/src/main/java/org/quetzalscale/standin/platform/Machine.java
@@ -16,11 +16,12 @@
     private long missingSinceMillis = NOT_MISSING;
 
     /** Takes over a registration of a new process. */
-    void register(Member member, long processId, String processIdentity, long nowMillis) {
+    void register(
+            Member member, long processId, String processIdentity, long nowMillis, long version) {
         this.processId = processId;
         this.processIdentity = processIdentity;
         this.missingSinceMillis = NOT_MISSING;
-        changes.add(new Change(nowMillis, member));
+        changes.add(new Change(nowMillis, version, member));
     }
 
     Member latest() {
@@ -31,11 +32,15 @@
         return processId;
     }
 
-    /** The machine as it was at the given time, or empty if it was not registered then. */
-    Optional<Member> at(long millis) {
+    /**
+     * The machine as it was at the given time, without changes after the given version; empty if it
+     * was not registered then.
+     */
+    Optional<Member> at(long millis, long lastVersion) {
         for (int i = changes.size() - 1; i >= 0; i--) {
-            if (changes.get(i).atMillis() <= millis) {
-                return Optional.of(changes.get(i).member());
+            Change change = changes.get(i);
+            if (change.atMillis() <= millis && change.version() <= lastVersion) {
+                return Optional.of(change.member());
             }
         }
         return Optional.empty();
@@ -45,7 +50,7 @@
         return changes.get(changes.size() - 1).atMillis();
     }
 
-    void moveTo(MemberState state, long nowMillis) {
+    void moveTo(MemberState state, long nowMillis, long version) {
         Member last = latest();
         if (last.state() == state || last.state() == MemberState.GONE) {
             return;
@@ -53,6 +58,7 @@
         changes.add(
                 new Change(
                         nowMillis,
+                        version,
                         new Member(last.name(), last.role(), last.zone(), last.address(), state)));
     }
 
@@ -73,5 +79,10 @@
         return Math.max(1, nowMillis - missingSinceMillis);
     }
 
-    private record Change(long atMillis, Member member) {}
+    /**
+     * A change of the machine's state.
+     *
+     * @param version number of the change among those of all machines
+     */
+    private record Change(long atMillis, long version, Member member) {}
 }
--- a/standin/src/main/java/org/quetzalscale/standin/platform/MachineRegistry.java
+++ b/standin/src/main/java/org/quetzalscale/standin/platform/MachineRegistry.java
@@ -27,6 +27,11 @@
     private final long goneAfterMillis;
     private long frozenAtMillis = NOT_FROZEN;
 
+    /** Changes after this version are not listed while the list is frozen. */
+    private long frozenVersion = NOT_FROZEN;
+
+    private long lastVersion;
+
     /**
      * Creates an empty registry.
      *
@@ -63,17 +68,17 @@
                     ErrorKind.INVALID_FIELD, "processId", "process " + processId + " does not run");
         }
         machines.computeIfAbsent(keyOf(member), key -> new Machine())
-                .register(member, processId, identity, time.nowMillis());
+                .register(member, processId, identity, time.nowMillis(), ++lastVersion);
     }
 
     /** Reports a machine as being in graceful shutdown. */
     public synchronized void leave(MemberRole role, String name) {
-        require(role, name).moveTo(MemberState.LEAVING, time.nowMillis());
+        require(role, name).moveTo(MemberState.LEAVING, time.nowMillis(), ++lastVersion);
     }
 
     /** Reports a machine as terminated. */
     public synchronized void lose(MemberRole role, String name) {
-        require(role, name).moveTo(MemberState.GONE, time.nowMillis());
+        require(role, name).moveTo(MemberState.GONE, time.nowMillis(), ++lastVersion);
     }
 
     /** Marks machines whose process ended as GONE; returns those that became so now. */
@@ -85,7 +90,7 @@
             if (machine.latest().state() != MemberState.GONE
                     && missingMillis > 0
                     && missingMillis >= goneAfterMillis) {
-                machine.moveTo(MemberState.GONE, nowMillis);
+                machine.moveTo(MemberState.GONE, nowMillis, ++lastVersion);
                 gone.add(machine.latest());
             }
         }
@@ -97,7 +102,7 @@
         long seenMillis = Math.min(time.nowMillis(), frozenAtMillis) - lagMillis;
         return machines.values().stream()
                 .filter(machine -> machine.latest().role() == role)
-                .map(machine -> machine.at(seenMillis))
+                .map(machine -> machine.at(seenMillis, frozenVersion))
                 .flatMap(Optional::stream)
                 .filter(member -> !isOld(member, seenMillis))
                 .toList();
@@ -113,8 +118,10 @@
     public synchronized void freeze(boolean freeze) {
         if (!freeze) {
             frozenAtMillis = NOT_FROZEN;
+            frozenVersion = NOT_FROZEN;
         } else if (frozenAtMillis == NOT_FROZEN) {
             frozenAtMillis = time.nowMillis();
+            frozenVersion = lastVersion;
         }
     }
 
--- a/standin/src/test/java/org/quetzalscale/standin/platform/MachineRegistryTest.java
+++ b/standin/src/test/java/org/quetzalscale/standin/platform/MachineRegistryTest.java
@@ -103,6 +103,24 @@
                 .hasMessageContaining("gone");
     }
 
+    /** Guards against a frozen list that shows a change of the millisecond in which it froze. */
+    @Test
+    void hidesChangesOfTheMillisecondInWhichItFroze() {
+        MachineRegistry withoutLag =
+                new MachineRegistry(
+                        time,
+                        id -> Optional.ofNullable(processes.get(id)),
+                        0,
+                        GONE_AFTER_MILLIS);
+        withoutLag.register(ENTRY, PROCESS);
+        withoutLag.freeze(true);
+        withoutLag.leave(MemberRole.ENTRY, "entry-1");
+
+        assertThat(withoutLag.list(MemberRole.ENTRY))
+                .extracting(Member::state)
+                .containsExactly(MemberState.LIVE);
+    }
+
     @Test
     void showsChangesMadeWhileFrozenOnlyAfterwards() {
         registry.freeze(true);
