--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpClient.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /**
@@ -67,12 +68,12 @@
      */
     public CompletionStage<HttpReply> send(HttpCall call, int limitMillis) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        long startNanos = System.nanoTime();
         Channel reused = pollIdle();
         if (reused != null) {
-            sendOn(reused, call, reply, limitMillis);
+            sendOn(reused, call, reply, startNanos, limitMillis);
             return reply;
         }
-        long startNanos = System.nanoTime();
         connect(false)
                 .addListener(
                         connected -> {
@@ -85,7 +86,8 @@
                                     ((io.netty.channel.ChannelFuture) connected).channel(),
                                     call,
                                     reply,
-                                    remainingMillis(startNanos, limitMillis));
+                                    startNanos,
+                                    limitMillis);
                         });
         return reply;
     }
@@ -159,17 +161,33 @@
 
     private static int remainingMillis(long startNanos, int limitMillis) {
         long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000L;
-        return (int) Math.max(1, limitMillis - elapsedMillis);
+        return (int) Math.max(0, limitMillis - elapsedMillis);
     }
 
+    /**
+     * Writes the request on a connection, unless its timeout has passed. The process may have been
+     * paused since the caller decided to send it, and the request may be outdated.
+     */
     private void sendOn(
-            Channel channel, HttpCall call, CompletableFuture<HttpReply> reply, int limitMillis) {
+            Channel channel,
+            HttpCall call,
+            CompletableFuture<HttpReply> reply,
+            long startNanos,
+            int limitMillis) {
         channel.eventLoop()
                 .execute(
                         () -> {
+                            int remaining = remainingMillis(startNanos, limitMillis);
+                            if (remaining == 0) {
+                                idle.push(channel);
+                                reply.completeExceptionally(
+                                        HttpCallException.notSent(
+                                                new TimeoutException("the timeout has passed")));
+                                return;
+                            }
                             channel.pipeline()
                                     .get(ReplyReceiver.class)
-                                    .expect(channel, reply, limitMillis);
+                                    .expect(channel, reply, remaining);
                             channel.writeAndFlush(encode(call));
                         });
     }
--- a/net/src/test/java/org/quetzalscale/net/http/JsonHttpTest.java
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -63,6 +64,36 @@
         };
     }
 
+    /**
+     * Guards against an outdated request that a process writes after a pause: its timeout passed
+     * while it waited for the event loop.
+     */
+    @Test
+    void sendsNothingOnceTheTimeoutHasPassed() {
+        EventLoopGroup single = EventLoops.create(1, "paused");
+        JsonHttpClient paused =
+                new JsonHttpClient(
+                        new InetSocketAddress("127.0.0.1", server.port()), single, TIMEOUT_MILLIS);
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        single.next()
+                .execute(
+                        () -> {
+                            paused.send(
+                                            HttpCall.of(HttpMethod.POST, "/echo", new byte[1]),
+                                            SHORT_TIMEOUT_MILLIS)
+                                    .whenComplete(
+                                            (value, failure) ->
+                                                    reply.completeExceptionally(failure));
+                            LockSupport.parkNanos(
+                                    TimeUnit.MILLISECONDS.toNanos(2 * SHORT_TIMEOUT_MILLIS));
+                        });
+
+        Throwable failure = catchThrowable(() -> reply.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertThat(failure.getCause()).isInstanceOf(HttpCallException.class);
+        assertThat(((HttpCallException) failure.getCause()).maybeSent()).isFalse();
+        single.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     private HttpReply call(String path, byte[] body) {
         return client.send(HttpCall.of(HttpMethod.POST, path, body)).toCompletableFuture().join();
     }
