Hand over the fleet safely, and to strong instances

The new owner starts new jobs at once on the workers that have answered it, the former one on those that have not. The lease's "generation 72" was no fault: it counts renewals, not hand-overs. Change: an acquisition also writes jobs/fleet/owner, so the feed shows it before any later job.

Renewals pass. - late starts in a worker's next incarnation: the fence rises with each unanswered start and silence (WorkerFence). Alternatives: a new epoch for each silence costs a store write, up to 264 a second when a rack goes dark; repeated stops were late themselves. In memory it costs none. A term that a worker rejects now releases the lease: found when the raise was wrong for a moment, the owner renewed its lease for ever without owning the fleet. ProgressRecorder keeps its cursors in order, so that a seed of the simulation repeats in each process.

--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.table.CommitResult;
@@ -36,8 +37,7 @@
     private final RowKey epochKey;
     private final InstanceId self;
     private final TimeSource time;
-    private final long leaseMillis;
-    private final Predicate<String> hasProcessEnded;
+    private final Options options;
     private final ReentrantLock lock = new ReentrantLock();
 
     private long observedVersion = -1;
@@ -46,6 +46,25 @@
     private long heldUntilMillis;
     private boolean tickInFlight;
 
+    /**
+     * How a keeper takes the lease.
+     *
+     * @param leaseMillis lease time, in milliseconds
+     * @param hasProcessEnded whether the process of a holder is known to have ended, so that its
+     *     lease may be taken over at once
+     * @param announcementKey row that each acquisition writes as well, so that the change feed of
+     *     its table shows an acquisition before all later changes
+     * @param waitMillis how long to leave a lease that may be taken to others, in milliseconds
+     */
+    public record Options(
+            long leaseMillis,
+            Predicate<String> hasProcessEnded,
+            Optional<RowKey> announcementKey,
+            LongSupplier waitMillis) {
+        static final Options DEFAULT =
+                new Options(LEASE_MILLIS, holder -> false, Optional.empty(), () -> 0);
+    }
+
     /**
      * Creates a keeper that does not hold the lease, with the lease time {@link #LEASE_MILLIS}.
      *
@@ -57,32 +76,24 @@
             String name,
             InstanceId self,
             TimeSource time) {
-        this(table, codec, name, self, time, LEASE_MILLIS, holder -> false);
+        this(table, codec, name, self, time, Options.DEFAULT);
     }
 
-    /**
-     * Creates a keeper that does not hold the lease.
-     *
-     * @param leaseMillis lease time, in milliseconds
-     * @param hasProcessEnded whether the process of a holder is known to have ended, so that its
-     *     lease may be taken over at once
-     */
+    /** Creates a keeper that does not hold the lease. */
     public LeaseKeeper(
             TransactionalTable table,
             RowCodec<LeaseRow> codec,
             String name,
             InstanceId self,
             TimeSource time,
-            long leaseMillis,
-            Predicate<String> hasProcessEnded) {
+            Options options) {
         this.table = table;
         this.codec = codec;
         this.leaseKey = RowKey.of("lease", name);
         this.epochKey = RowKey.of("lease", name, "epoch");
         this.self = self;
         this.time = time;
-        this.leaseMillis = leaseMillis;
-        this.hasProcessEnded = hasProcessEnded;
+        this.options = options;
     }
 
     /**
@@ -167,8 +178,9 @@
             return renew(row.get(), startedMillis);
         }
         String holder = decode(row.get()).holder();
-        boolean free = holder.isEmpty() || hasProcessEnded.test(holder);
-        if (!free && !isUnchangedForLeaseTime(row.get())) {
+        boolean free = holder.isEmpty() || options.hasProcessEnded().test(holder);
+        long required = (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
+        if (!isUnchangedFor(required, row.get())) {
             return CompletableFuture.completedFuture(null);
         }
         long renewals = decode(row.get()).renewals() + 1;
@@ -193,7 +205,9 @@
 
     private CompletionStage<Void> acquire(
             Transaction.Builder transaction, long startedMillis, long renewals) {
-        return table.commit(transaction.put(epochKey, self.value()).build())
+        transaction.put(epochKey, self.value());
+        options.announcementKey().ifPresent(key -> transaction.put(key, self.value()));
+        return table.commit(transaction.build())
                 .thenAccept(result -> recordAcquisition(result, startedMillis, renewals));
     }
 
@@ -204,7 +218,7 @@
         lock.lock();
         try {
             held = new Lease(new Condition(epochKey, result.version()), renewals);
-            heldUntilMillis = startedMillis + leaseMillis;
+            heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
             lock.unlock();
         }
@@ -213,7 +227,7 @@
     private void extendLease(long startedMillis) {
         lock.lock();
         try {
-            heldUntilMillis = startedMillis + leaseMillis;
+            heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
             lock.unlock();
         }
@@ -228,7 +242,7 @@
         }
     }
 
-    private boolean isUnchangedForLeaseTime(Row row) {
+    private boolean isUnchangedFor(long millis, Row row) {
         long now = time.nowMillis();
         lock.lock();
         try {
@@ -236,7 +250,7 @@
                 observedVersion = row.version();
                 observedSinceMillis = now;
             }
-            return now - observedSinceMillis >= leaseMillis;
+            return now - observedSinceMillis >= millis;
         } finally {
             lock.unlock();
         }
--- a/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
+++ b/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
@@ -56,6 +56,49 @@
         }
     }
 
+    @Nested
+    class WithOptions {
+        private final RowKey announcement = RowKey.of("job", "owner");
+
+        private LeaseKeeper keeper(String name, long waitMillis) {
+            LeaseKeeper.Options options =
+                    new LeaseKeeper.Options(
+                            1_500,
+                            holder -> false,
+                            java.util.Optional.of(announcement),
+                            () -> waitMillis);
+            return new LeaseKeeper(
+                    table, CODEC, "fleet", new InstanceId(name), () -> nowMillis, options);
+        }
+
+        /** Guards against a former owner that reads newer work and not who took its lease. */
+        @Test
+        void announceEachAcquisitionWithTheVersionOfItsFence() {
+            LeaseKeeper keeper = keeper("instance-1", 0);
+            keeper.tick();
+
+            long announced = table.read(announcement).toCompletableFuture().join().get().version();
+            assertThat(announced).isEqualTo(keeper.current().get().fence().version());
+        }
+
+        /** Guards against a weak instance that takes a lease which a strong one would take. */
+        @Test
+        void leaveAFreeLeaseToOthersForAWhile() {
+            LeaseKeeper strong = keeper("instance-1", 0);
+            LeaseKeeper weak = keeper("instance-2", 500);
+            strong.tick();
+            strong.release();
+            weak.tick();
+            nowMillis += 499;
+            weak.tick();
+            assertThat(weak.current()).isEmpty();
+
+            nowMillis += 1;
+            weak.tick();
+            assertThat(weak.current()).isPresent();
+        }
+    }
+
     @Nested
     class MutualExclusion {
         @Test
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -31,6 +31,12 @@
         WaveStatusRows waveStatus,
         Times times,
         FleetMetrics metrics) {
+    /** This context with other clients for workers and instances. */
+    FleetContext withCalls(WorkerCalls newCalls, InstanceCalls newInstances) {
+        return new FleetContext(
+                self, clock, table, newCalls, workers, newInstances, waveStatus, times, metrics);
+    }
+
     /**
      * Where operators read the state of waves.
      *
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -16,6 +16,13 @@
     static final String JOBS = "jobs";
 
     static final String JOBS_PREFIX = JOBS + "/" + SHARD + "/";
+
+    /**
+     * Written by each new owner when it takes the lease. The feed of jobs shows this row before any
+     * job that was accepted later, so a former owner never starts such a job.
+     */
+    static final RowKey OWNER = RowKey.of(JOBS, SHARD, "owner");
+
     static final String PROGRESS_PREFIX = "progress/" + SHARD + "/";
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
@@ -0,0 +1,44 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.task.OrderAnswer;
+import org.quetzalscale.core.task.StartOrder;
+import org.quetzalscale.core.task.TaskRef;
+import org.quetzalscale.core.task.WorkerCalls;
+import org.quetzalscale.core.task.WorkerEntry;
+import org.quetzalscale.core.task.WorkerReport;
+
+/**
+ * Calls to workers whose orders pass an {@link OrderGate}. Renewals pass at once: they start
+ * nothing, keep running work alive while the store is away, and their answers tell of a newer
+ * owner.
+ */
+record GatedWorkerCalls(WorkerCalls calls, OrderGate gate) implements WorkerCalls {
+    @Override
+    public CompletionStage<OrderAnswer> start(
+            WorkerEntry worker, StartOrder order, long leaseClockMillis, long fence) {
+        return gate.send(() -> calls.start(worker, order, leaseClockMillis, fence));
+    }
+
+    @Override
+    public CompletionStage<OrderAnswer> stop(
+            WorkerEntry worker, TaskRef task, long run, long fence) {
+        return gate.send(() -> calls.stop(worker, task, run, fence));
+    }
+
+    @Override
+    public CompletionStage<OrderAnswer> pace(
+            WorkerEntry worker, TaskRef task, long run, int percent, long fence) {
+        return gate.send(() -> calls.pace(worker, task, run, percent, fence));
+    }
+
+    @Override
+    public CompletionStage<WorkerReport> renew(
+            WorkerEntry worker,
+            long leaseClockMillis,
+            long acknowledged,
+            int waitMillis,
+            long fence) {
+        return calls.renew(worker, leaseClockMillis, acknowledged, waitMillis, fence);
+    }
+}
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -287,6 +286,8 @@
                         (result, failure) -> {
                             if (failure != null) {
                                 publishedDone.remove(planner.number());
+                            } else if (!result.isCommitted()) {
+                                term.fenced("store");
                             } else if (completed) {
                                 Logger.info("event=wave_completed wave={}", planner.number());
                             }
@@ -302,11 +303,16 @@
     private static Map<Long, Set<InstanceId>> decodeDone(List<Row> rows) {
         Map<Long, Set<InstanceId>> done = new HashMap<>();
         for (Row row : rows) {
-            String number = row.key().value().substring(FleetRows.WAVES_PREFIX.length());
-            List<InstanceId> ids = new ArrayList<>();
-            Json.read(row.value(), JsonNode.class)
-                    .forEach(id -> ids.add(new InstanceId(id.asText())));
-            done.put(Long.parseLong(number), new HashSet<>(ids));
+            StoreFailures.applyOrLog(
+                    row.key(),
+                    () -> {
+                        String number =
+                                row.key().value().substring(FleetRows.WAVES_PREFIX.length());
+                        Set<InstanceId> ids = new HashSet<>();
+                        Json.read(row.value(), JsonNode.class)
+                                .forEach(id -> ids.add(new InstanceId(id.asText())));
+                        done.put(Long.parseLong(number), ids);
+                    });
         }
         return done;
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -6,6 +6,7 @@
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.lease.LeaseKeeper;
 import org.quetzalscale.core.lease.LeaseRow;
+import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.net.json.Json;
 
@@ -34,8 +35,12 @@
     private boolean stopped;
     private volatile boolean owner;
 
-    /** Creates a service that does not own the fleet. */
-    public OwnerService(FleetContext context, PolicyWatcher policies) {
+    /**
+     * Creates a service that does not own the fleet.
+     *
+     * @param preference how long this instance leaves the lease to stronger ones
+     */
+    public OwnerService(FleetContext context, PolicyWatcher policies, OwnerPreference preference) {
         String name = context.self().value() + START_TIME_SEPARATOR;
         String self = name + Long.toString(context.clock().epochMillis().getAsLong(), 36);
         this.context = context;
@@ -47,10 +52,13 @@
                         FleetRows.SHARD,
                         new InstanceId(self),
                         context.clock().time(),
-                        LEASE_MILLIS,
-                        // An instance runs one process at a time, so the process of an earlier
-                        // lease has ended.
-                        holder -> holder.startsWith(name) && !holder.equals(self));
+                        new LeaseKeeper.Options(
+                                LEASE_MILLIS,
+                                // An instance runs one process at a time, so the process of an
+                                // earlier lease has ended.
+                                holder -> holder.startsWith(name) && !holder.equals(self),
+                                Optional.of(FleetRows.OWNER),
+                                preference::waitMillis));
     }
 
     /** Starts competing for the lease. */
@@ -122,9 +130,14 @@
         term.start();
     }
 
+    /**
+     * Ends a term that a worker or the store rejected, and releases the lease if it is still this
+     * instance's: otherwise the renewals would keep others from owning the fleet.
+     */
     private void fenced(long version) {
         fencedVersion = version;
         endTerm();
+        keeper.release();
     }
 
     private void endTerm() {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -34,6 +34,14 @@
     private static final long RETRY_DELAY_MILLIS = 100;
     private static final long PLAN_DELAY_MILLIS = 2;
     private static final long PLAN_INTERVAL_MILLIS = 100;
+
+    /**
+     * Pause between plans, as a multiple of the duration of the last one. It leaves most of a slow
+     * processor's time to the renewal of the lease and to the reports of workers, each of which
+     * requests a plan.
+     */
+    private static final long PLAN_PAUSE_FACTOR = 2;
+
     private static final long PUBLISH_INTERVAL_MILLIS = 800;
 
     /**
@@ -41,6 +49,9 @@
      */
     private static final long INSTANCE_LIST_TIMEOUT_MILLIS = 2_000;
 
+    /** Rows of a snapshot that are decoded in one turn of the loop. */
+    private static final int ROWS_PER_TURN = 100;
+
     private static final long MAX_JOB_AGE_MILLIS = 600_000;
 
     /**
@@ -51,6 +62,7 @@
 
     private final FleetContext context;
     private final LoopClock clock;
+    private final OrderGate gate;
     private final Lease lease;
     private final FleetScheduler scheduler;
     private final FleetOverview overview;
@@ -64,11 +76,16 @@
     private boolean ended;
     private boolean scheduling;
     private boolean planPending;
+    private long lastPlanMillis;
     private String publishedCounts = "";
 
-    OwnerTerm(FleetContext context, PolicyWatcher policies, Lease lease, Runnable onFenced) {
-        this.context = context;
-        this.clock = context.clock();
+    OwnerTerm(FleetContext services, PolicyWatcher policies, Lease lease, Runnable onFenced) {
+        this.clock = services.clock();
+        this.gate = new OrderGate(services.table(), clock, lease.fence(), this);
+        this.context =
+                services.withCalls(
+                        new GatedWorkerCalls(services.calls(), gate),
+                        new GatedInstanceCalls(services.instances(), gate));
         this.lease = lease;
         this.onFenced = onFenced;
         this.startMillis = clock.nowMillis();
@@ -107,11 +124,13 @@
             return;
         }
         Logger.info("event=term_begins fence={}", fence());
+        gate.start();
         load();
     }
 
     void stop() {
         ended = true;
+        gate.stop();
         recorder.stop();
         Logger.info("event=term_ends fence={}", fence());
     }
@@ -161,7 +180,7 @@
     public void planSoon() {
         if (!planPending && scheduling && !ended) {
             planPending = true;
-            clock.after(PLAN_DELAY_MILLIS, this::plan);
+            clock.after(PLAN_DELAY_MILLIS + PLAN_PAUSE_FACTOR * lastPlanMillis, this::plan);
         }
     }
 
@@ -220,8 +239,23 @@
             StoreFailures.decodeOrLog(row.key(), () -> JobRowCodecs.PROGRESS.decode(row.value()))
                     .ifPresent(value -> progress.put(value.job(), value));
         }
-        for (Row row : jobs.rows()) {
-            applyJobRow(row.key(), row.value(), progress);
+        addJobs(jobs, 0, progress);
+    }
+
+    /**
+     * Adds the jobs of a snapshot in several turns of the loop, between which the lease is renewed.
+     */
+    private void addJobs(RowSnapshot jobs, int fromIndex, Map<JobId, JobProgress> progress) {
+        int toIndex = Math.min(jobs.rows().size(), fromIndex + ROWS_PER_TURN);
+        for (Row row : jobs.rows().subList(fromIndex, toIndex)) {
+            applyJobRow(row.key(), row.version(), row.value(), progress);
+        }
+        if (ended) {
+            return;
+        }
+        if (toIndex < jobs.rows().size()) {
+            clock.after(0, () -> addJobs(jobs, toIndex, progress));
+            return;
         }
         scheduling = true;
         scheduler.holdRecoveredJobs();
@@ -238,7 +272,21 @@
         endedJobs.deletePeriodically();
     }
 
-    private void applyJobRow(RowKey key, String value, Map<JobId, JobProgress> progress) {
+    private void applyJobRow(
+            RowKey key, long version, String value, Map<JobId, JobProgress> progress) {
+        if (!ended) {
+            StoreFailures.applyOrLog(key, () -> applyValidRow(key, version, value, progress));
+        }
+    }
+
+    private void applyValidRow(
+            RowKey key, long version, String value, Map<JobId, JobProgress> progress) {
+        if (key.equals(FleetRows.OWNER)) {
+            if (version > fence()) {
+                fenced("store");
+            }
+            return;
+        }
         Optional<JobId> id = FleetRows.jobOf(key);
         if (id.isEmpty() || endedJobs.contains(id.get())) {
             return;
@@ -291,7 +339,7 @@
     }
 
     private void rowChanged(ChangedRow row) {
-        row.value().ifPresent(value -> applyJobRow(row.key(), value, Map.of()));
+        row.value().ifPresent(value -> applyJobRow(row.key(), row.version(), value, Map.of()));
     }
 
     private void rereadJobs() {
@@ -307,7 +355,13 @@
                                 return;
                             }
                             jobs.rows()
-                                    .forEach(row -> applyJobRow(row.key(), row.value(), Map.of()));
+                                    .forEach(
+                                            row ->
+                                                    applyJobRow(
+                                                            row.key(),
+                                                            row.version(),
+                                                            row.value(),
+                                                            Map.of()));
                             planSoon();
                             watchJobs(jobs.version());
                         });
@@ -317,7 +371,8 @@
         if (ended) {
             return;
         }
-        clock.after(PLAN_INTERVAL_MILLIS, this::planPeriodically);
+        clock.after(
+                PLAN_INTERVAL_MILLIS + PLAN_PAUSE_FACTOR * lastPlanMillis, this::planPeriodically);
         plan();
     }
 
@@ -332,6 +387,7 @@
         }
         scheduler.plan(now, clock.epochMillis().getAsLong());
         recorder.flush();
+        lastPlanMillis = clock.nowMillis() - now;
     }
 
     /**
@@ -367,6 +423,8 @@
                             (result, failure) -> {
                                 if (failure != null) {
                                     publishedCounts = "";
+                                } else if (!result.isCommitted()) {
+                                    fenced("store");
                                 }
                             });
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -1,6 +1,6 @@
 package org.quetzalscale.daemon.fleet;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -89,7 +89,7 @@
         if (writing || stopped) {
             return;
         }
-        Map<WorkerSession, Cursor> seenCursors = new HashMap<>();
+        Map<WorkerSession, Cursor> seenCursors = new LinkedHashMap<>();
         sessions.values().forEach(session -> seenCursors.put(session, session.seenCursor()));
         if (!scheduler.hasChangedJobs()) {
             seenCursors.forEach(WorkerSession::recordedUpTo);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/StoreFailures.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/StoreFailures.java
@@ -23,9 +23,21 @@
     static <T> Optional<T> decodeOrLog(RowKey key, Supplier<T> decode) {
         try {
             return Optional.of(decode.get());
-        } catch (QuetzalscaleException e) {
-            Logger.error("event=row_ignored key={} cause=\"{}\"", key, e.getMessage());
+        } catch (RuntimeException e) {
+            Logger.error("event=row_ignored key={} cause=\"{}\"", key, e.toString());
             return Optional.empty();
         }
     }
+
+    /**
+     * Applies one row. An exception costs this row and is logged; the reader goes on with the next
+     * one.
+     */
+    static void applyOrLog(RowKey key, Runnable apply) {
+        try {
+            apply.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "event=row_ignored key={}", key);
+        }
+    }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -1,10 +1,12 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.lease.WorkerFence;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.WorkerEntry;
@@ -24,24 +26,29 @@
     private final LoopClock clock;
     private final WorkerSession.Term term;
     private final Map<WorkerId, WorkerSession> sessions;
-    private final long fence;
+    private final long leaseVersion;
+
+    /** Kept beyond a session: orders of an earlier session may still reach the worker. */
+    private final Map<WorkerId, WorkerFence> fences = new HashMap<>();
+
     private final long startedMillis;
 
     /**
      * Creates a directory that has read nothing yet.
      *
      * @param sessions the sessions of the term, to which the directory adds
+     * @param leaseVersion version that fences the owner's lease
      */
     WorkerDirectory(
             FleetContext context,
             WorkerSession.Term term,
             Map<WorkerId, WorkerSession> sessions,
-            long fence) {
+            long leaseVersion) {
         this.context = context;
         this.clock = context.clock();
         this.term = term;
         this.sessions = sessions;
-        this.fence = fence;
+        this.leaseVersion = leaseVersion;
         this.startedMillis = clock.nowMillis();
     }
 
@@ -62,7 +69,16 @@
                                 return;
                             }
                             Set<WorkerId> found = new HashSet<>();
-                            rows.rows().forEach(row -> applyEntry(row.key(), row.value(), found));
+                            rows.rows()
+                                    .forEach(
+                                            row ->
+                                                    StoreFailures.applyOrLog(
+                                                            row.key(),
+                                                            () ->
+                                                                    applyEntry(
+                                                                            row.key(),
+                                                                            row.value(),
+                                                                            found)));
                             sessions.keySet().stream()
                                     .filter(id -> !found.contains(id))
                                     .toList()
@@ -85,7 +101,11 @@
                             }
                             long next = version;
                             if (failure == null) {
-                                changes.rows().forEach(this::rowChanged);
+                                changes.rows()
+                                        .forEach(
+                                                row ->
+                                                        StoreFailures.applyOrLog(
+                                                                row.key(), () -> rowChanged(row)));
                                 next = changes.version();
                             }
                             long from = next;
@@ -133,7 +153,7 @@
                         term,
                         context,
                         entry.get(),
-                        fence,
+                        fences.computeIfAbsent(id, created -> new WorkerFence(leaseVersion)),
                         startedMillis + WorkerSession.formerLeaseBoundMillis());
         sessions.put(id, opened);
         opened.start();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.WorkerFence;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.OrderAnswer;
@@ -63,7 +64,7 @@
     private final WorkerCalls calls;
     private final FleetMetrics metrics;
     private final LoopClock clock;
-    private final long fence;
+    private final WorkerFence fence;
     private final Queue<StartOrder> queuedStarts = new ArrayDeque<>();
     private WorkerEntry entry;
     private boolean registered = true;
@@ -86,6 +87,7 @@
     /**
      * Creates a session.
      *
+     * @param fence token of this owner for the worker, shared by all sessions with it
      * @param formerLeaseUntilMillis until when runs of an earlier owner may continue without a
      *     renewal by this one
      */
@@ -93,7 +95,7 @@
             Term term,
             FleetContext context,
             WorkerEntry entry,
-            long fence,
+            WorkerFence fence,
             long formerLeaseUntilMillis) {
         this.term = term;
         this.calls = context.calls();
@@ -181,11 +183,12 @@
             startAnswered(task, run, OrderAnswer.NOT_SENT);
             return;
         }
-        calls.stop(entry, task, run, fence)
+        long token = fence.current();
+        calls.stop(entry, task, run, token)
                 .thenAccept(
                         answer -> {
                             metrics.order("stop", answer.name());
-                            if (isObsolete(answer)) {
+                            if (isObsolete(answer, token)) {
                                 return;
                             }
                             term.scheduler()
@@ -194,7 +197,9 @@
     }
 
     void pace(TaskRef task, long run, int percent) {
-        calls.pace(entry, task, run, percent, fence).thenAccept(this::isObsolete);
+        long token = fence.current();
+        calls.pace(entry, task, run, percent, token)
+                .thenAccept(answer -> isObsolete(answer, token));
     }
 
     private void sendStarts() {
@@ -202,13 +207,17 @@
             StartOrder order = queuedStarts.poll();
             startsInFlight++;
             extendLease();
-            calls.start(entry, order, leaseClockMillis(), fence)
+            long token = fence.current();
+            calls.start(entry, order, leaseClockMillis(), token)
                     .thenAccept(
                             answer -> {
                                 startsInFlight--;
-                                if (isObsolete(answer)) {
+                                if (isObsolete(answer, token)) {
                                     return;
                                 }
+                                if (answer == OrderAnswer.UNKNOWN) {
+                                    fence.raise();
+                                }
                                 startAnswered(order.task(), order.run(), answer);
                                 sendStarts();
                             });
@@ -231,9 +240,13 @@
         }
     }
 
-    /** Reports a newer owner, and returns whether the term or the session is over. */
-    private boolean isObsolete(OrderAnswer answer) {
-        if (answer == OrderAnswer.FENCED) {
+    /**
+     * Reports a newer owner, and returns whether the term or the session is over.
+     *
+     * @param token fencing token of the answered order
+     */
+    private boolean isObsolete(OrderAnswer answer, long token) {
+        if (answer == OrderAnswer.FENCED && !fence.wasRaisedAfter(token)) {
             term.fenced(entry.id().value());
         }
         return term.ended() || closed;
@@ -262,7 +275,8 @@
         // restarted, which has to be known soon.
         boolean longPoll = clockKnown && !unresponsive && lastRecordedNumber == lastSeenNumber;
         int waitMillis = longPoll ? LONG_POLL_MILLIS : 0;
-        calls.renew(entry, leaseUntilClockMillis, lastRecordedNumber, waitMillis, fence)
+        long token = fence.current();
+        calls.renew(entry, leaseUntilClockMillis, lastRecordedNumber, waitMillis, token)
                 .whenComplete(
                         (report, failure) -> {
                             renewing = false;
@@ -270,13 +284,23 @@
                                 return;
                             }
                             if (failure == null) {
-                                handleReport(report, sentMillis);
+                                handleReportOrLog(report, sentMillis);
                             } else {
-                                renewalFailed(QuetzalscaleException.from(failure));
+                                renewalFailed(QuetzalscaleException.from(failure), token);
                             }
                         });
     }
 
+    /** An exception costs this report; the next renewal reads the worker's lists again. */
+    private void handleReportOrLog(WorkerReport report, long sentMillis) {
+        try {
+            handleReport(report, sentMillis);
+        } catch (RuntimeException e) {
+            Logger.error(e, "event=report_ignored worker={}", entry.id());
+            clock.after(RETRY_DELAY_MILLIS, this::renew);
+        }
+    }
+
     private void handleReport(WorkerReport report, long sentMillis) {
         long now = clock.nowMillis();
         if (startedEpochMillis != 0
@@ -345,14 +369,19 @@
         }
     }
 
-    private void renewalFailed(QuetzalscaleException error) {
+    private void renewalFailed(QuetzalscaleException error, long token) {
         if (error.kind() == ErrorKind.LEASE_LOST) {
-            term.fenced(entry.id().value());
+            if (fence.wasRaisedAfter(token)) {
+                renew();
+            } else {
+                term.fenced(entry.id().value());
+            }
             return;
         }
         long now = clock.nowMillis();
         if (!unresponsive) {
             unresponsive = true;
+            fence.raise();
             Logger.warn(
                     "event=worker_silent worker={} cause=\"{}\"", entry.id(), error.getMessage());
             term.scheduler().setUnresponsive(entry.id(), true, now);
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
@@ -3,9 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
@@ -15,8 +15,8 @@
 import org.tinylog.Logger;
 
 /**
- * Registers the address of this instance's relay server in the store, and reads those of its
- * siblings.
+ * Registers the address of this instance's relay server and its processor cores in the store, and
+ * reads those of its siblings.
  */
 public final class SiblingDirectory {
     private static final String PREFIX = "nodes/fleet/";
@@ -26,25 +26,47 @@
 
     private final InstanceId self;
     private final InetSocketAddress address;
+    private final double cores;
     private final RelayedTable table;
     private final LoopClock clock;
+    private final OwnerPreference preference;
     private boolean stopped;
 
+    /**
+     * A sibling's row.
+     *
+     * @param cores processor cores that the sibling may use
+     */
+    private record Sibling(InetSocketAddress address, double cores) {}
+
     /**
      * Creates a directory.
      *
      * @param address address of this instance's relay server
+     * @param cores processor cores that this instance may use
+     * @param preference learns the cores of the siblings
      */
     public SiblingDirectory(
-            InstanceId self, InetSocketAddress address, RelayedTable table, LoopClock clock) {
+            InstanceId self,
+            InetSocketAddress address,
+            double cores,
+            RelayedTable table,
+            LoopClock clock,
+            OwnerPreference preference) {
         this.self = self;
         this.address = address;
+        this.cores = cores;
         this.table = table;
         this.clock = clock;
+        this.preference = preference;
     }
 
-    /** Registers this instance after a delay, so that more urgent startup work comes first. */
+    /**
+     * Reads the siblings, and registers this instance after a delay, so that more urgent startup
+     * work comes first.
+     */
     public void start() {
+        refresh();
         clock.after(START_DELAY_MILLIS, this::register);
     }
 
@@ -61,13 +83,11 @@
         if (stopped) {
             return;
         }
-        String text = address.getAddress().getHostAddress() + ":" + address.getPort();
+        String text = address.getAddress().getHostAddress() + ":" + address.getPort() + ":" + cores;
         table.commit(Transaction.builder().put(key(self), text).build())
                 .whenComplete(
                         (result, failure) -> {
-                            if (failure == null) {
-                                refresh();
-                            } else {
+                            if (failure != null) {
                                 clock.after(RETRY_INTERVAL_MILLIS, this::register);
                             }
                         });
@@ -82,25 +102,26 @@
 
     private void onSnapshot(RowSnapshot snapshot, Throwable failure) {
         if (failure == null) {
-            Map<InstanceId, InetSocketAddress> siblings = new HashMap<>();
-            for (Row row : snapshot.rows()) {
-                InstanceId id = new InstanceId(row.key().value().substring(PREFIX.length()));
-                if (!id.equals(self)) {
-                    parseAddress(row).ifPresent(found -> siblings.put(id, found));
-                }
-            }
-            table.updateSiblings(siblings);
+            Map<InstanceId, Sibling> siblings = new HashMap<>();
+            snapshot.rows().forEach(row -> parseRow(row, siblings));
+            siblings.remove(self);
+            Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
+            siblings.forEach((id, sibling) -> addresses.put(id, sibling.address()));
+            table.updateSiblings(addresses);
+            preference.updateSiblings(siblings.values().stream().map(Sibling::cores).toList());
         }
         clock.after(REFRESH_INTERVAL_MILLIS, this::refresh);
     }
 
-    private static Optional<InetSocketAddress> parseAddress(Row row) {
+    /** Adds the sibling of a row ADDRESS:PORT:CORES; an invalid row costs that sibling only. */
+    private static void parseRow(Row row, Map<InstanceId, Sibling> siblings) {
         String[] parts = row.value().split(":");
         try {
-            return Optional.of(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
-        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+            InstanceId id = new InstanceId(row.key().value().substring(PREFIX.length()));
+            InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+            siblings.put(id, new Sibling(address, Double.parseDouble(parts[2])));
+        } catch (RuntimeException e) {
             Logger.error("event=row_ignored key={} cause=\"{}\"", row.key(), e.toString());
-            return Optional.empty();
         }
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -16,6 +16,7 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.instance.WaveRequest;
+import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
@@ -41,6 +42,9 @@
     private static final int WORKERS = 3;
     private static final int CAPACITY = 8;
     private static final int JOBS = 12;
+    private static final int JOBS_WITH_LOST_RENEWALS = 70;
+    private static final int SLOW_CALLS_MILLIS = 150;
+    private static final long LOST_RENEWALS_INTERVAL_MILLIS = 3_500;
     private static final int FAULT_COUNT = 8;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
@@ -50,11 +54,13 @@
     private static final double FAILURE_PROBABILITY = 0.1;
     private static final long FAULT_PERIOD_MILLIS = 16_000;
     private static final long END_MILLIS = 45_000;
+    private static final long END_WITH_LOST_RENEWALS_MILLIS = 90_000;
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
     private static final PoolId POOL = new PoolId("pool");
     private static final QueueId QUEUE = new QueueId("queue");
 
     private final Variant variant;
+    private final Faults injected;
     private final Random random;
     private final VirtualLoop loop = new VirtualLoop();
     private final LastingTaskHistory lasting = new LastingTaskHistory(loop, MAX_UNAVAILABLE);
@@ -69,7 +75,12 @@
     private final List<String> faults = new ArrayList<>();
 
     FleetSimulation(Variant variant, long seed) {
+        this(variant, Faults.DRAWN, seed);
+    }
+
+    FleetSimulation(Variant variant, Faults injected, long seed) {
         this.variant = variant;
+        this.injected = injected;
         random = new Random(seed);
         store = new SimulatedStore(loop, random);
     }
@@ -88,11 +99,23 @@
         SAME_WORKERS
     }
 
+    /** Which faults a simulation injects. */
+    enum Faults {
+        /** Faults of all kinds at times that are drawn. */
+        DRAWN,
+        /**
+         * Again and again the owner's transactions get no answers while its reads do, with many
+         * more jobs. Another instance takes over, and for a moment both learn of submitted jobs.
+         */
+        LOST_RENEWALS
+    }
+
     /** An instance, which runs one process at a time. */
     private final class Node {
         final String name;
         SimulatedProcess process;
         JobGateway gateway;
+        OwnerService owner;
 
         Node(String name) {
             this.name = name;
@@ -108,7 +131,9 @@
                             () -> EPOCH_MILLIS + loop.nowMillis());
             FeedTable table = store.clientFor(process);
             PolicyWatcher policies = new PolicyWatcher(table, clock, operatorRows());
-            OwnerService owner = new OwnerService(context(name, clock, table, process), policies);
+            owner =
+                    new OwnerService(
+                            context(name, clock, table, process), policies, new OwnerPreference(1));
             gateway = new JobGateway(table, clock, () -> false);
             policies.start();
             owner.start();
@@ -136,7 +161,7 @@
         for (int number = 1; number <= INSTANCES; number++) {
             nodes.add(new Node("node-" + number));
         }
-        for (int number = 1; number <= JOBS; number++) {
+        for (int number = 1; number <= jobCount(); number++) {
             JobDefinition job = job(number);
             jobs.put(job.id(), job);
             history.addJob(job);
@@ -145,15 +170,42 @@
         if (variant != Variant.PLAIN) {
             beginMaintenance();
         }
-        for (int i = 0; i < FAULT_COUNT; i++) {
-            loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
+        if (injected == Faults.LOST_RENEWALS) {
+            callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
+            loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
+        } else {
+            for (int i = 0; i < FAULT_COUNT; i++) {
+                loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
+            }
         }
-        loop.runUntil(END_MILLIS);
+        loop.runUntil(
+                injected == Faults.LOST_RENEWALS ? END_WITH_LOST_RENEWALS_MILLIS : END_MILLIS);
         List<String> found = history.violations();
         found.addAll(unfinishedWork());
         return found;
     }
 
+    private int jobCount() {
+        return injected == Faults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
+    }
+
+    private void loseRenewals() {
+        if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
+            return;
+        }
+        loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
+        for (Node node : nodes) {
+            if (node.owner.isOwner()) {
+                faults.add(loop.nowMillis() + ": transactions of " + node.name + " unanswered");
+                SimulatedProcess process = node.process;
+                applyFor(
+                        3_000,
+                        () -> process.store = SimulatedProcess.StoreAccess.COMMITS_NOT_ANSWERED,
+                        () -> process.store = SimulatedProcess.StoreAccess.SERVED);
+            }
+        }
+    }
+
     private void beginMaintenance() {
         JobDefinition service = lastingJob();
         jobs.put(service.id(), service);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.quetzalscale.daemon.fleet.FleetSimulation.Faults;
 import org.quetzalscale.daemon.fleet.FleetSimulation.Variant;
 
 /**
@@ -83,8 +84,31 @@
         run(Variant.PLAIN, 2_891_709_639_051_412_421L);
     }
 
+    /**
+     * Guards against a task that the former and the new owner both start: the former owner's
+     * renewals get no answers, so another instance takes over, and until the former owner learns of
+     * it, both read the same new jobs.
+     */
+    @Property(tries = 40, seed = "4711904120337", shrinking = ShrinkingMode.OFF)
+    void startsNewJobsOnceAroundAHandOver(@ForAll @LongRange(min = 1) long seed) {
+        run(Variant.PLAIN, Faults.LOST_RENEWALS, seed);
+    }
+
+    /**
+     * Guards against the same failure in a run that showed it: the new owner started a job on a
+     * worker that had answered it, and the former one on a worker that had not.
+     */
+    @Test
+    void startsNewJobsOnceAroundAHandOverThatFailed() {
+        run(Variant.PLAIN, Faults.LOST_RENEWALS, 22_690_191_752_142L);
+    }
+
     private static void run(Variant variant, long seed) {
-        FleetSimulation simulation = new FleetSimulation(variant, seed);
+        run(variant, Faults.DRAWN, seed);
+    }
+
+    private static void run(Variant variant, Faults injected, long seed) {
+        FleetSimulation simulation = new FleetSimulation(variant, injected, seed);
         assertThat(simulation.run())
                 .as(() -> variant + ", seed " + seed + ", faults " + simulation.faults())
                 .isEmpty();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -5,9 +5,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -27,6 +29,7 @@
 import org.quetzalscale.core.instance.InstanceAnswer;
 import org.quetzalscale.core.instance.InstanceCalls;
 import org.quetzalscale.core.instance.InstanceState;
+import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
@@ -34,9 +37,11 @@
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
+import org.quetzalscale.core.task.JobProgress;
 import org.quetzalscale.core.task.Recurrence;
 import org.quetzalscale.core.task.RunEnd;
 import org.quetzalscale.core.task.StepDefinition;
+import org.quetzalscale.core.task.StepProgress;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerEntry;
 import org.quetzalscale.core.time.TimeSource;
@@ -66,7 +71,7 @@
         final OwnerService owner;
 
         Node(String name) {
-            owner = new OwnerService(context(name), policies);
+            owner = new OwnerService(context(name), policies, new OwnerPreference(1));
             run(policies::start);
             run(owner::start);
         }
@@ -310,6 +315,38 @@
         second.stop();
     }
 
+    /**
+     * Guards against an owner that loads forever or stops reading because of one row: a record of a
+     * task that its job does not have, and a job that cannot be read.
+     */
+    @Test
+    void servesOtherJobsBesideRowsThatCannotBeApplied() {
+        JobId broken = new JobId("00000000000000ad");
+        submit(job(broken));
+        table.put(
+                FleetRows.progress(broken).value(),
+                JobRowCodecs.PROGRESS.encode(
+                        new JobProgress(
+                                broken,
+                                JobPhase.RUNNING,
+                                List.of(
+                                        new StepProgress(
+                                                0,
+                                                0,
+                                                new BitSet(),
+                                                Map.of(9, Set.of(1L)),
+                                                Map.of())))));
+        Node node = new Node("node-1");
+        submit();
+        await("a job beside the broken record", () -> worker.startsOf(FIRST) == 1);
+
+        table.put(FleetRows.job(new JobId("00000000000000ae")).value(), "not a job");
+        JobId later = new JobId("00000000000000af");
+        submit(job(later));
+        await("a job after it", () -> worker.startsOf(new TaskRef(later, 0, 0, 0)) == 1);
+        node.stop();
+    }
+
     /** Guards against a status for operators that is missing or differs from the owner's state. */
     @Test
     void showsOperatorsTheFleetAndAJob() {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
@@ -26,6 +26,9 @@
     static final class CallFaults {
         /** Part of the orders that get no answer and are carried out 2 to 8 s later. */
         double delayProbability;
+
+        /** Every call and every answer takes 1 ms and up to this long more. */
+        int latencySpreadMillis = 4;
     }
 
     private final VirtualLoop loop;
@@ -138,7 +141,7 @@
     }
 
     private int latency() {
-        return 1 + random.nextInt(4);
+        return 1 + random.nextInt(faults.latencySpreadMillis);
     }
 
     private static QuetzalscaleException failure(ErrorKind kind) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
@@ -12,7 +12,9 @@
     enum StoreAccess {
         SERVED,
         REFUSED,
-        NOT_ANSWERED
+        NOT_ANSWERED,
+        /** Reads are answered; transactions are not, and some are carried out late. */
+        COMMITS_NOT_ANSWERED
     }
 
     StoreAccess store = StoreAccess.SERVED;
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
@@ -107,7 +107,8 @@
             if (fails(reply)) {
                 return reply;
             }
-            if (random.nextDouble() < lostAnswerProbability) {
+            boolean lost = process.store == SimulatedProcess.StoreAccess.COMMITS_NOT_ANSWERED;
+            if (lost || random.nextDouble() < lostAnswerProbability) {
                 int delay = random.nextBoolean() ? latency() : 1_000 + random.nextInt(5_000);
                 loop.after(delay, () -> apply(transaction));
                 process.fail(TIMEOUT_MILLIS, reply, failure(ErrorKind.STORE_OUTCOME_UNKNOWN));
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -18,6 +18,7 @@
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
+import org.quetzalscale.core.lease.WorkerFence;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.schedule.OrderSender;
@@ -33,6 +34,8 @@
 
 final class WorkerSessionTest implements WorkerSession.Term, OrderSender {
     private static final long NEVER = 1_000_000;
+    private static final TaskRef TASK = new TaskRef(new JobId("0000000000000001"), 0, 0, 0);
+    private static final TaskRef OTHER_TASK = new TaskRef(new JobId("0000000000000001"), 0, 0, 1);
 
     private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
     private final LoopClock clock = new LoopClock(loop, () -> 1_000, () -> 0);
@@ -46,9 +49,11 @@
                     new FleetContext(
                             null, clock, null, calls, null, null, null, null, new FleetMetrics()),
                     entry(1),
-                    7,
+                    new WorkerFence(7),
                     NEVER);
 
+    private String fencedBy;
+
     private static WorkerEntry entry(long startedEpochMillis) {
         return new WorkerEntry(
                 new WorkerId("i-1"),
@@ -66,12 +71,16 @@
     /** The answers of a worker, in the order of the calls; a call without an answer stays open. */
     private static final class ScriptedCalls implements WorkerCalls {
         final List<CompletableFuture<WorkerReport>> renewals = new ArrayList<>();
+        final List<Long> renewalFences = new ArrayList<>();
+        final List<CompletableFuture<OrderAnswer>> starts = new ArrayList<>();
         final List<Long> acknowledged = new ArrayList<>();
 
         @Override
         public CompletionStage<OrderAnswer> start(
                 WorkerEntry worker, StartOrder order, long leaseClockMillis, long fence) {
-            return new CompletableFuture<>();
+            CompletableFuture<OrderAnswer> answer = new CompletableFuture<>();
+            starts.add(answer);
+            return answer;
         }
 
         @Override
@@ -95,6 +104,7 @@
                 long fence) {
             CompletableFuture<WorkerReport> reply = new CompletableFuture<>();
             renewals.add(reply);
+            renewalFences.add(fence);
             acknowledged.add(number);
             return reply;
         }
@@ -114,7 +124,9 @@
     public void planSoon() {}
 
     @Override
-    public void fenced(String by) {}
+    public void fenced(String by) {
+        fencedBy = by;
+    }
 
     @Override
     public boolean ended() {
@@ -135,8 +147,7 @@
     }
 
     private static FinishedRun end(long number) {
-        TaskRef task = new TaskRef(new JobId("0000000000000001"), 0, 0, 0);
-        return new FinishedRun(number, task, number, RunEnd.DONE, "");
+        return new FinishedRun(number, TASK, number, RunEnd.DONE, "");
     }
 
     /**
@@ -177,6 +188,40 @@
         assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L);
     }
 
+    /**
+     * Guards against a start that is carried out late, after the worker restarted and forgot the
+     * stops: the first call with a higher token forbids it.
+     */
+    @Test
+    void raisesTheFenceWhenAStartIsNotAnswered() {
+        session.start();
+        calls.renewals.get(0).complete(report());
+        session.send(new StartOrder(TASK, 1, "spec", ""));
+        calls.starts.get(0).complete(OrderAnswer.UNKNOWN);
+        calls.renewals.get(1).complete(report());
+
+        assertThat(calls.renewalFences.get(2)).isGreaterThan(calls.renewalFences.get(1));
+    }
+
+    /**
+     * Guards against an owner that gives up the fleet because a worker rejects an order that was
+     * overtaken by one with a higher token of the same owner.
+     */
+    @Test
+    void continuesWhenAWorkerRejectsATokenThatItRaisedSince() {
+        session.start();
+        calls.renewals.get(0).complete(report());
+        session.send(new StartOrder(TASK, 1, "spec", ""));
+        session.send(new StartOrder(OTHER_TASK, 1, "spec", ""));
+        calls.starts.get(0).complete(OrderAnswer.UNKNOWN);
+        calls.starts.get(1).complete(OrderAnswer.FENCED);
+        assertThat(fencedBy).isNull();
+
+        session.send(new StartOrder(OTHER_TASK, 2, "spec", ""));
+        calls.starts.get(2).complete(OrderAnswer.FENCED);
+        assertThat(fencedBy).isEqualTo("i-1");
+    }
+
     /** Guards against calls to a worker whose instance is gone while its entry remains. */
     @Test
     void distinguishesTheEntryOfAnEndedWorkerFromALaterOne() {
