--- a/standin/src/test/java/org/quetzalscale/standin/platform/MachineRegistryTest.java
+++ b/standin/src/test/java/org/quetzalscale/standin/platform/MachineRegistryTest.java
@@ -108,10 +108,7 @@
     void hidesChangesOfTheMillisecondInWhichItFroze() {
         MachineRegistry withoutLag =
                 new MachineRegistry(
-                        time,
-                        id -> Optional.ofNullable(processes.get(id)),
-                        0,
-                        GONE_AFTER_MILLIS);
+                        time, id -> Optional.ofNullable(processes.get(id)), 0, GONE_AFTER_MILLIS);
         withoutLag.register(ENTRY, PROCESS);
         withoutLag.freeze(true);
         withoutLag.leave(MemberRole.ENTRY, "entry-1");
