--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -291,11 +291,15 @@
                         });
     }
 
-    /** An exception costs this report; the next renewal reads the worker's lists again. */
+    /**
+     * An exception costs this report. The next renewal reads the worker's lists again, and
+     * acknowledges nothing that was not recorded.
+     */
     private void handleReportOrLog(WorkerReport report, long sentMillis) {
         try {
             handleReport(report, sentMillis);
         } catch (RuntimeException e) {
+            lastSeenNumber = lastRecordedNumber;
             Logger.error(e, "event=report_ignored worker={}", entry.id());
             clock.after(RETRY_DELAY_MILLIS, this::renew);
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.error.ErrorKind;
@@ -53,6 +54,7 @@
                     NEVER);
 
     private String fencedBy;
+    private boolean failing;
 
     private static WorkerEntry entry(long startedEpochMillis) {
         return new WorkerEntry(
@@ -121,7 +123,11 @@
     }
 
     @Override
-    public void planSoon() {}
+    public void planSoon() {
+        if (failing) {
+            throw new IllegalStateException("unexpected");
+        }
+    }
 
     @Override
     public void fenced(String by) {
@@ -222,6 +228,23 @@
         assertThat(fencedBy).isEqualTo("i-1");
     }
 
+    /**
+     * Guards against a session that ends at an unexpected error, and against the acknowledgement of
+     * finished runs that the error kept from being recorded.
+     */
+    @Test
+    void continuesAfterAnErrorWithoutAcknowledgingTheReport() throws Exception {
+        session.start();
+        failing = true;
+        calls.renewals.get(0).complete(report(end(1)));
+        failing = false;
+        session.recordedUpTo(session.seenCursor());
+        assertThat(session.seenCursor().number()).isZero();
+
+        loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).get();
+        assertThat(calls.acknowledged).containsExactly(0L, 0L);
+    }
+
     /** Guards against calls to a worker whose instance is gone while its entry remains. */
     @Test
     void distinguishesTheEntryOfAnEndedWorkerFromALaterOne() {
