Refuse orders after a pause instead of keeping them

Change: the gate keeps nothing. While it is closed, starts, stops and pacing report NOT_SENT, moves and maintenance UNAVAILABLE, and the scheduler plans again once the lease is confirmed.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedInstanceCalls.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedInstanceCalls.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon.fleet;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.PoolId;
@@ -8,7 +9,7 @@
 import org.quetzalscale.core.instance.InstanceAnswer;
 import org.quetzalscale.core.instance.InstanceCalls;
 
-/** Calls about instances whose orders pass an {@link OrderGate}. */
+/** Calls about instances whose orders are sent while an {@link OrderGate} is open. */
 record GatedInstanceCalls(InstanceCalls calls, OrderGate gate) implements InstanceCalls {
     @Override
     public CompletionStage<List<FleetInstance>> list() {
@@ -17,11 +18,15 @@
 
     @Override
     public CompletionStage<InstanceAnswer> move(InstanceId instance, PoolId pool, long fence) {
-        return gate.send(() -> calls.move(instance, pool, fence));
+        return gate.isOpen()
+                ? calls.move(instance, pool, fence)
+                : CompletableFuture.completedFuture(InstanceAnswer.UNAVAILABLE);
     }
 
     @Override
     public CompletionStage<InstanceAnswer> maintain(InstanceId instance, long wave, long fence) {
-        return gate.send(() -> calls.maintain(instance, wave, fence));
+        return gate.isOpen()
+                ? calls.maintain(instance, wave, fence)
+                : CompletableFuture.completedFuture(InstanceAnswer.UNAVAILABLE);
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
@@ -1,5 +1,6 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.quetzalscale.core.task.OrderAnswer;
 import org.quetzalscale.core.task.StartOrder;
@@ -9,27 +10,33 @@
 import org.quetzalscale.core.task.WorkerReport;
 
 /**
- * Calls to workers whose orders pass an {@link OrderGate}. Renewals pass at once: they start
- * nothing, keep running work alive while the store is away, and their answers tell of a newer
- * owner.
+ * Calls to workers whose orders are sent while an {@link OrderGate} is open. Renewals always are:
+ * they start nothing, keep running work alive while the store is away, and their answers tell of a
+ * newer owner.
  */
 record GatedWorkerCalls(WorkerCalls calls, OrderGate gate) implements WorkerCalls {
     @Override
     public CompletionStage<OrderAnswer> start(
             WorkerEntry worker, StartOrder order, long leaseClockMillis, long fence) {
-        return gate.send(() -> calls.start(worker, order, leaseClockMillis, fence));
+        return gate.isOpen()
+                ? calls.start(worker, order, leaseClockMillis, fence)
+                : CompletableFuture.completedFuture(OrderAnswer.NOT_SENT);
     }
 
     @Override
     public CompletionStage<OrderAnswer> stop(
             WorkerEntry worker, TaskRef task, long run, long fence) {
-        return gate.send(() -> calls.stop(worker, task, run, fence));
+        return gate.isOpen()
+                ? calls.stop(worker, task, run, fence)
+                : CompletableFuture.completedFuture(OrderAnswer.NOT_SENT);
     }
 
     @Override
     public CompletionStage<OrderAnswer> pace(
             WorkerEntry worker, TaskRef task, long run, int percent, long fence) {
-        return gate.send(() -> calls.pace(worker, task, run, percent, fence));
+        return gate.isOpen()
+                ? calls.pace(worker, task, run, percent, fence)
+                : CompletableFuture.completedFuture(OrderAnswer.NOT_SENT);
     }
 
     @Override
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
@@ -1,18 +1,16 @@
 package org.quetzalscale.daemon.fleet;
 
-import java.util.ArrayDeque;
-import java.util.Queue;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.function.Supplier;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.FeedTable;
 import org.tinylog.Logger;
 
 /**
  * Lets the orders of an owner pass while its process runs without pauses. After a pause another
- * instance may own the fleet, so orders wait until the store confirms that the lease has not been
- * taken. If it has, the waiting orders are discarded with the term.
+ * instance may own the fleet, so no order passes until the store confirms that the lease has not
+ * been taken. If it has, the term ends.
+ *
+ * <p>Orders are refused and not kept: by the time of the confirmation the scheduler may have
+ * decided otherwise, for example because the worker restarted.
  */
 final class OrderGate {
     private static final long RETRY_DELAY_MILLIS = 50;
@@ -22,7 +20,6 @@
     private final Condition fence;
     private final WorkerSession.Term term;
     private final PauseDetector detector;
-    private final Queue<Runnable> waitingOrders = new ArrayDeque<>();
     private long confirmedPauses;
     private boolean confirming;
 
@@ -40,43 +37,29 @@
 
     void stop() {
         detector.stop();
-        waitingOrders.clear();
     }
 
-    /** Sends an order now, or once the lease is confirmed. */
-    <T> CompletionStage<T> send(Supplier<CompletionStage<T>> order) {
+    /** Whether an order may be sent now. If not, the confirmation of the lease is under way. */
+    boolean isOpen() {
         if (detector.pauses() == confirmedPauses) {
-            return order.get();
+            return true;
         }
-        CompletableFuture<T> answer = new CompletableFuture<>();
-        waitingOrders.add(() -> forward(order, answer));
-        confirm();
-        return answer;
-    }
-
-    private <T> void forward(Supplier<CompletionStage<T>> order, CompletableFuture<T> answer) {
-        send(order)
-                .whenComplete(
-                        (value, failure) -> {
-                            if (failure == null) {
-                                answer.complete(value);
-                            } else {
-                                answer.completeExceptionally(failure);
-                            }
-                        });
+        if (!confirming) {
+            confirming = true;
+            Logger.info("event=owner_paused fence={}", fence.version());
+            confirm();
+        }
+        return false;
     }
 
     private void confirm() {
-        if (confirming || term.ended()) {
+        if (term.ended()) {
             return;
         }
-        confirming = true;
         long pausesBefore = detector.pauses();
-        Logger.info("event=owner_paused fence={} orders={}", fence.version(), waitingOrders.size());
         table.read(fence.key())
                 .whenComplete(
                         (row, failure) -> {
-                            confirming = false;
                             if (term.ended()) {
                                 return;
                             }
@@ -84,20 +67,13 @@
                                 clock.after(RETRY_DELAY_MILLIS, this::confirm);
                             } else if (row.filter(r -> r.version() == fence.version())
                                     .isPresent()) {
-                                confirmed(pausesBefore);
+                                confirming = false;
+                                confirmedPauses = pausesBefore;
+                                Logger.info("event=lease_confirmed fence={}", fence.version());
+                                term.planSoon();
                             } else {
                                 term.fenced("store");
                             }
                         });
     }
-
-    private void confirmed(long pausesBefore) {
-        confirmedPauses = pausesBefore;
-        Logger.info(
-                "event=lease_confirmed fence={} orders={}", fence.version(), waitingOrders.size());
-        // An order that meets another pause joins the queue again, behind these.
-        for (int count = waitingOrders.size(); count > 0 && !term.ended(); count--) {
-            waitingOrders.remove().run();
-        }
-    }
 }
