--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -31,6 +31,7 @@
     /** Kept beyond a session: orders of an earlier session may still reach the worker. */
     private final Map<WorkerId, WorkerFence> fences = new HashMap<>();
 
+    private final SessionOpener opener;
     private final long startedMillis;
 
     /**
@@ -49,6 +50,7 @@
         this.term = term;
         this.sessions = sessions;
         this.leaseVersion = leaseVersion;
+        this.opener = new SessionOpener(clock);
         this.startedMillis = clock.nowMillis();
     }
 
@@ -156,7 +158,7 @@
                         fences.computeIfAbsent(id, created -> new WorkerFence(leaseVersion)),
                         startedMillis + WorkerSession.formerLeaseBoundMillis());
         sessions.put(id, opened);
-        opened.start();
+        opener.open(opened);
     }
 
     private void deregister(WorkerId id) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -66,6 +66,7 @@
     private final LoopClock clock;
     private final WorkerFence fence;
     private final Queue<StartOrder> queuedStarts = new ArrayDeque<>();
+    private Runnable onFirstResult = () -> {};
     private WorkerEntry entry;
     private boolean registered = true;
     private boolean closed;
@@ -114,7 +115,13 @@
         return LEASE_BOUND_MILLIS + FENCE_NOTICE_MILLIS;
     }
 
-    void start() {
+    /**
+     * Starts the session.
+     *
+     * @param onFirstResult called when the first call to the worker was answered or has failed
+     */
+    void start(Runnable onFirstResult) {
+        this.onFirstResult = onFirstResult;
         renew();
     }
 
@@ -280,6 +287,9 @@
                 .whenComplete(
                         (report, failure) -> {
                             renewing = false;
+                            Runnable opened = onFirstResult;
+                            onFirstResult = () -> {};
+                            opened.run();
                             if (term.ended() || closed) {
                                 return;
                             }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -40,6 +40,8 @@
 final class FleetSimulation {
     private static final int INSTANCES = 3;
     private static final int WORKERS = 3;
+    private static final int WORKERS_OF_A_LARGE_FLEET = 100;
+    private static final int SLOW_CONNECT_MILLIS = 25;
     private static final int CAPACITY = 8;
     private static final int JOBS = 12;
     private static final int JOBS_WITH_LOST_RENEWALS = 70;
@@ -107,7 +109,12 @@
          * Again and again the owner's transactions get no answers while its reads do, with many
          * more jobs. Another instance takes over, and for a moment both learn of submitted jobs.
          */
-        LOST_RENEWALS
+        LOST_RENEWALS,
+        /**
+         * All instances are killed, and the next owner calls a hundred workers with a slow
+         * processor.
+         */
+        SLOW_TAKEOVER
     }
 
     /** An instance, which runs one process at a time. */
@@ -155,7 +162,7 @@
     /** Runs the simulation and returns the violations that it found. */
     List<String> run() {
         store.put("op//config", "policy");
-        for (int number = 1; number <= WORKERS; number++) {
+        for (int number = 1; number <= workerCount(); number++) {
             instances.add(new InstanceId("m-" + number), addWorker("i-" + number));
         }
         for (int number = 1; number <= INSTANCES; number++) {
@@ -170,7 +177,10 @@
         if (variant != Variant.PLAIN) {
             beginMaintenance();
         }
-        if (injected == Faults.LOST_RENEWALS) {
+        if (injected == Faults.SLOW_TAKEOVER) {
+            callFaults.connectMillis = SLOW_CONNECT_MILLIS;
+            loop.after(FAULT_PERIOD_MILLIS / 2, () -> nodes.forEach(node -> node.kill(1_000)));
+        } else if (injected == Faults.LOST_RENEWALS) {
             callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
             loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
         } else {
@@ -185,6 +195,15 @@
         return found;
     }
 
+    /** How often an instance took the fleet's lease. */
+    long acquisitions() {
+        return store.writesOf(FleetRows.OWNER);
+    }
+
+    private int workerCount() {
+        return injected == Faults.SLOW_TAKEOVER ? WORKERS_OF_A_LARGE_FLEET : WORKERS;
+    }
+
     private int jobCount() {
         return injected == Faults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -106,6 +106,18 @@
         run(Variant.PLAIN, Faults.LOST_RENEWALS, 22_690_191_752_142L);
     }
 
+    /**
+     * Guards against accepted work that nobody runs (LOST): the calls of a new owner to all workers
+     * delay the renewals of its lease, so the next instance takes the fleet and begins anew, again
+     * and again.
+     */
+    @Property(tries = 5, seed = "7712093645120", shrinking = ShrinkingMode.OFF)
+    void keepsItsLeaseWhileItCallsAllWorkers(@ForAll @LongRange(min = 1) long seed) {
+        FleetSimulation simulation = new FleetSimulation(Variant.PLAIN, Faults.SLOW_TAKEOVER, seed);
+        assertThat(simulation.run()).as("violations, seed %d", seed).isEmpty();
+        assertThat(simulation.acquisitions()).as("owners, seed %d", seed).isEqualTo(2);
+    }
+
     private static void run(Variant variant, long seed) {
         run(variant, Faults.DRAWN, seed);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
@@ -1,7 +1,9 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -29,6 +31,9 @@
 
         /** Every call and every answer takes 1 ms and up to this long more. */
         int latencySpreadMillis = 4;
+
+        /** Processor time of the first call of a process to a worker. */
+        int connectMillis;
     }
 
     private final VirtualLoop loop;
@@ -37,6 +42,7 @@
     private final Map<WorkerId, SimulatedWorker> workers;
     private final ToDoubleFunction<TaskRef> need;
     private final CallFaults faults;
+    private final Set<WorkerId> connected = new HashSet<>();
 
     SimulatedCalls(
             VirtualLoop loop,
@@ -80,6 +86,9 @@
         CompletableFuture<WorkerReport> reply = new CompletableFuture<>();
         SimulatedWorker target = workers.get(worker.id());
         boolean cut = process.cutFromWorkers;
+        if (connected.add(worker.id())) {
+            process.occupy(faults.connectMillis);
+        }
         loop.after(
                 latency(),
                 () -> {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
@@ -1,11 +1,16 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 
 /** A process that may be frozen, killed, and cut off from the store or from the workers. */
 final class SimulatedProcess {
     private final VirtualLoop loop;
     private long frozenUntilMillis;
+    private long busyUntilMillis;
+    private final Queue<Runnable> waiting = new ArrayDeque<>();
+    private boolean nextScheduled;
     private boolean killed;
 
     /** How the store answers this process. */
@@ -24,7 +29,7 @@
         this.loop = loop;
     }
 
-    /** Runs the action, once the process is no longer frozen; never if it was killed. */
+    /** Runs the action, once the process is neither frozen nor busy; never if it was killed. */
     void run(Runnable action) {
         if (killed) {
             return;
@@ -34,9 +39,34 @@
             loop.after(wait, () -> run(action));
             return;
         }
+        if (isBusy() || !waiting.isEmpty()) {
+            waiting.add(action);
+            scheduleNext();
+            return;
+        }
         action.run();
     }
 
+    private boolean isBusy() {
+        return loop.nowMillis() < busyUntilMillis;
+    }
+
+    private void scheduleNext() {
+        if (!nextScheduled && !waiting.isEmpty()) {
+            nextScheduled = true;
+            loop.after(busyUntilMillis - loop.nowMillis(), this::runWaiting);
+        }
+    }
+
+    /** Runs waiting actions in their order, until one of them keeps the processor busy. */
+    private void runWaiting() {
+        nextScheduled = false;
+        while (!killed && !isBusy() && !waiting.isEmpty()) {
+            waiting.poll().run();
+        }
+        scheduleNext();
+    }
+
     /** Completes a reply after some time, if the process is still alive. */
     <T> void deliver(long millis, CompletableFuture<T> reply, T value) {
         loop.after(millis, () -> run(() -> reply.complete(value)));
@@ -47,6 +77,11 @@
         loop.after(millis, () -> run(() -> reply.completeExceptionally(failure)));
     }
 
+    /** Keeps the processor busy; actions that are due meanwhile run later. */
+    void occupy(long millis) {
+        busyUntilMillis = Math.max(busyUntilMillis, loop.nowMillis()) + millis;
+    }
+
     void freeze(long millis) {
         frozenUntilMillis = loop.nowMillis() + millis;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
@@ -53,6 +53,11 @@
         return table.scan(prefix).toCompletableFuture().join();
     }
 
+    /** How often a row was written. */
+    long writesOf(RowKey key) {
+        return changes.stream().filter(change -> change.key().equals(key)).count();
+    }
+
     void dropHistory() {
         droppedVersion = table.version();
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -163,7 +163,7 @@
      */
     @Test
     void doesNotCallAnUnresponsiveWorkerAtEachRecord() {
-        session.start();
+        session.start(() -> {});
         calls.renewals
                 .get(0)
                 .completeExceptionally(
@@ -182,7 +182,7 @@
      */
     @Test
     void acknowledgesFinishedRunsOnlyAfterTheirRecord() {
-        session.start();
+        session.start(() -> {});
         calls.renewals.get(0).complete(report());
         WorkerSession.Cursor before = session.seenCursor();
         calls.renewals.get(1).complete(report(end(1)));
@@ -200,7 +200,7 @@
      */
     @Test
     void raisesTheFenceWhenAStartIsNotAnswered() {
-        session.start();
+        session.start(() -> {});
         calls.renewals.get(0).complete(report());
         session.send(new StartOrder(TASK, 1, "spec", ""));
         calls.starts.get(0).complete(OrderAnswer.UNKNOWN);
@@ -215,7 +215,7 @@
      */
     @Test
     void continuesWhenAWorkerRejectsATokenThatItRaisedSince() {
-        session.start();
+        session.start(() -> {});
         calls.renewals.get(0).complete(report());
         session.send(new StartOrder(TASK, 1, "spec", ""));
         session.send(new StartOrder(OTHER_TASK, 1, "spec", ""));
@@ -234,7 +234,7 @@
      */
     @Test
     void continuesAfterAnErrorWithoutAcknowledgingTheReport() throws Exception {
-        session.start();
+        session.start(() -> {});
         failing = true;
         calls.renewals.get(0).complete(report(end(1)));
         failing = false;
