--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -396,6 +396,9 @@
      */
     private boolean formerRunsKnown(long nowMillis) {
         long age = nowMillis - startMillis;
+        if (!workers.allCalled()) {
+            return false;
+        }
         if (age >= WorkerSession.formerLeaseBoundMillis()) {
             return true;
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/SessionOpener.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/SessionOpener.java
@@ -27,6 +27,11 @@
         openNext();
     }
 
+    /** Whether every session has made its first call, or waited for it as long as it may. */
+    boolean isIdle() {
+        return opening == 0;
+    }
+
     private void openNext() {
         while (opening < MAX_OPENING && !waiting.isEmpty()) {
             opening++;
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -58,6 +58,11 @@
         read();
     }
 
+    /** Whether the owner has called every worker that it knows of. */
+    boolean allCalled() {
+        return opener.isIdle();
+    }
+
     private void read() {
         if (term.ended()) {
             return;
