--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -22,7 +22,12 @@
  * <p>An instance takes over the lease after it has observed the row unchanged for the whole lease
  * time by its own monotonic clock, so clocks need no synchronisation. There are two rows: {@code
  * lease/<name>} changes with each renewal, and {@code lease/<name>/epoch} only with each
- * acquisition. The version of the latter fences the holder's writes.
+ * acquisition. The version of the latter fences the holder's writes, and its renewals and releases:
+ * the name in the row alone does not tell whether another process of that name has acquired the
+ * lease.
+ *
+ * <p>Calls of one keeper to the table do not overlap: a tick is skipped while another call is in
+ * flight, and a release follows it.
  */
 public final class LeaseKeeper {
     /** Lease time: the time after which an unchanged lease may be taken over, in milliseconds. */
@@ -44,7 +49,15 @@
     private long observedSinceMillis;
     private Lease held;
     private long heldUntilMillis;
-    private boolean tickInFlight;
+
+    /** The last tick or release, until it is answered. */
+    private CompletableFuture<Void> callInFlight;
+
+    /** Whether a release is waiting or in flight. */
+    private boolean releasing;
+
+    /** The lease that {@link #release} gives back; null if its acquisition was not answered. */
+    private Lease toRelease;
 
     /**
      * How a keeper takes the lease.
@@ -129,7 +142,8 @@
      * stage never fails: after an error of the table, the next call retries.
      */
     public CompletionStage<Void> tick() {
-        if (!tryBeginTick()) {
+        CompletableFuture<Void> call = new CompletableFuture<>();
+        if (!tryBeginTick(call)) {
             return CompletableFuture.completedFuture(null);
         }
         long startedMillis = time.nowMillis();
@@ -137,36 +151,42 @@
                 .thenCompose(row -> renewOrAcquire(row, startedMillis))
                 .handle(
                         (result, failure) -> {
-                            endTick();
+                            endCall(call);
                             return null;
                         });
     }
 
-    /** Releases the lease, so that another instance can acquire it at once. */
+    /**
+     * Releases the lease, so that another instance can acquire it at once. A tick in flight is
+     * awaited first, because it may acquire or renew the lease.
+     */
     public CompletionStage<Void> release() {
-        lock.lock();
-        try {
-            held = null;
-            heldUntilMillis = 0;
-        } finally {
-            lock.unlock();
+        CompletableFuture<Void> call = new CompletableFuture<>();
+        return beginRelease(call)
+                .thenCompose(ignored -> table.read(leaseKey))
+                .thenCompose(this::free)
+                .handle(
+                        (result, failure) -> {
+                            endCall(call);
+                            return null;
+                        });
+    }
+
+    private CompletionStage<Void> free(Optional<Row> row) {
+        if (row.isEmpty() || !isOwn(row.get())) {
+            return CompletableFuture.completedFuture(null);
         }
-        return table.read(leaseKey)
-                .thenCompose(
-                        row -> {
-                            if (row.isEmpty() || !isOwn(row.get())) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            LeaseRow free = new LeaseRow("", decode(row.get()).renewals() + 1);
-                            return table.commit(
-                                    Transaction.builder()
-                                            .replace(row.get(), codec.encode(free))
-                                            .build());
-                        })
-                .handle((result, failure) -> null);
+        Transaction.Builder transaction = Transaction.builder();
+        leaseToRelease().ifPresent(lease -> transaction.require(lease.fence()));
+        LeaseRow free = new LeaseRow("", decode(row.get()).renewals() + 1);
+        transaction.replace(row.get(), codec.encode(free));
+        return table.commit(transaction.build()).thenApply(result -> null);
     }
 
     private CompletionStage<Void> renewOrAcquire(Optional<Row> row, long startedMillis) {
+        if (isReleasing()) {
+            return CompletableFuture.completedFuture(null);
+        }
         if (row.isEmpty()) {
             return acquire(Transaction.builder().insert(leaseKey, encode(0)), startedMillis, 0);
         }
@@ -190,21 +210,31 @@
     }
 
     private CompletionStage<Void> renew(Row row, long startedMillis) {
+        Optional<Lease> lease = currentOrExpired();
+        if (lease.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
         Transaction renewal =
-                Transaction.builder().replace(row, encode(decode(row).renewals() + 1)).build();
+                Transaction.builder()
+                        .require(lease.get().fence())
+                        .replace(row, encode(decode(row).renewals() + 1))
+                        .build();
         return table.commit(renewal)
                 .thenAccept(
                         result -> {
                             if (result.isCommitted()) {
                                 extendLease(startedMillis);
-                            } else {
+                            } else if (result.conflict().equals(Optional.of(epochKey))) {
                                 dropLease();
                             }
+                            // Otherwise only the lease row has changed, by a late renewal of this
+                            // instance: each acquisition writes both rows.
                         });
     }
 
     private CompletionStage<Void> acquire(
             Transaction.Builder transaction, long startedMillis, long renewals) {
+        forgetLeaseToRelease();
         transaction.put(epochKey, self.value());
         options.announcementKey().ifPresent(key -> transaction.put(key, self.value()));
         return table.commit(transaction.build())
@@ -217,7 +247,12 @@
         }
         lock.lock();
         try {
-            held = new Lease(new Condition(epochKey, result.version()), renewals);
+            Lease acquired = new Lease(new Condition(epochKey, result.version()), renewals);
+            if (releasing) {
+                toRelease = acquired;
+                return;
+            }
+            held = acquired;
             heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
             lock.unlock();
@@ -269,26 +304,76 @@
         }
     }
 
-    private boolean tryBeginTick() {
+    private boolean isReleasing() {
+        lock.lock();
+        try {
+            return releasing;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private Optional<Lease> leaseToRelease() {
         lock.lock();
         try {
-            if (tickInFlight) {
+            return Optional.ofNullable(toRelease);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A later release is not to require the fence of a lease before the next acquisition. */
+    private void forgetLeaseToRelease() {
+        lock.lock();
+        try {
+            toRelease = null;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean tryBeginTick(CompletableFuture<Void> call) {
+        lock.lock();
+        try {
+            if (callInFlight != null) {
                 return false;
             }
-            tickInFlight = true;
+            callInFlight = call;
             return true;
         } finally {
             lock.unlock();
         }
     }
 
-    private void endTick() {
+    /** Gives up the lease. The returned stage completes when the call in flight has ended. */
+    private CompletionStage<Void> beginRelease(CompletableFuture<Void> call) {
+        lock.lock();
+        try {
+            CompletableFuture<Void> previous = callInFlight;
+            callInFlight = call;
+            releasing = true;
+            if (held != null) {
+                toRelease = held;
+            }
+            held = null;
+            heldUntilMillis = 0;
+            return previous == null ? CompletableFuture.completedFuture(null) : previous;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void endCall(CompletableFuture<Void> call) {
         lock.lock();
         try {
-            tickInFlight = false;
+            if (callInFlight == call) {
+                callInFlight = null;
+                releasing = false;
+            }
         } finally {
             lock.unlock();
         }
+        call.complete(null);
     }
 
     private LeaseRow decode(Row row) {
--- a/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
+++ b/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
@@ -157,4 +157,108 @@
             assertThat(writeUnder(previous).isCommitted()).isFalse();
         }
     }
+
+    /** A restarted process beside its predecessor, both under one instance name. */
+    @Nested
+    class ProcessesOfOneName {
+        private final LeaseKeeper restarted = keeper("instance-1");
+
+        private void takeOver() {
+            tickUntil(nowMillis + 2 * LeaseKeeper.LEASE_MILLIS, restarted);
+            assertThat(restarted.current()).isPresent();
+        }
+
+        /** Guards against a former process that renews its successor's lease as its own. */
+        @Test
+        void theFormerProcessDoesNotRenewTheLeaseOfItsSuccessor() {
+            first.tick();
+            takeOver();
+            first.tick();
+
+            assertThat(first.currentOrExpired()).isEmpty();
+            Lease lease = restarted.current().orElseThrow();
+            assertThat(writeUnder(lease).isCommitted()).isTrue();
+        }
+
+        /** Guards against a former process that frees its successor's lease when it ends. */
+        @Test
+        void theFormerProcessDoesNotReleaseTheLeaseOfItsSuccessor() {
+            first.tick();
+            takeOver();
+            first.release();
+            second.tick();
+
+            assertThat(second.current()).isEmpty();
+            assertThat(writeUnder(restarted.current().orElseThrow()).isCommitted()).isTrue();
+        }
+    }
+
+    @Nested
+    class LateCalls {
+        private final DelayingTable connection = new DelayingTable(table);
+        private final LeaseKeeper keeper =
+                new LeaseKeeper(
+                        connection, CODEC, "jobs", new InstanceId("instance-1"), () -> nowMillis);
+
+        /** Guards against a lease that is lost because its holder's own renewal arrived late. */
+        @Test
+        void aLateRenewalDoesNotEndTheLease() {
+            keeper.tick();
+            Lease lease = keeper.current().orElseThrow();
+            connection.failCommits(DelayingTable.Fault.LATE);
+            keeper.tick();
+            connection.beforeNextCommit(connection::carryOutPending);
+            keeper.tick();
+
+            assertThat(keeper.current()).contains(lease);
+            tickUntil(nowMillis + 2 * LeaseKeeper.LEASE_MILLIS, keeper, second);
+            assertThat(keeper.current()).contains(lease);
+        }
+
+        /**
+         * Guards against an instance that stops while its acquisition is in flight, and thereby
+         * keeps the lease from others for the whole lease time.
+         */
+        @Test
+        void aReleaseFollowsAnAcquisitionInFlight() {
+            connection.failCommits(DelayingTable.Fault.SLOW);
+            keeper.tick();
+            keeper.release();
+            connection.carryOutPending();
+            second.tick();
+
+            assertThat(keeper.currentOrExpired()).isEmpty();
+            assertThat(second.current()).isPresent();
+        }
+
+        /** Guards against the same while a renewal is in flight. */
+        @Test
+        void aReleaseFollowsARenewalInFlight() {
+            keeper.tick();
+            connection.failCommits(DelayingTable.Fault.SLOW);
+            keeper.tick();
+            connection.beforeNextCommit(connection::carryOutPending);
+            keeper.release();
+            connection.carryOutPending();
+            second.tick();
+
+            assertThat(second.current()).isPresent();
+        }
+
+        /**
+         * Guards against a second lease that is not given back, because its release requires the
+         * fence of the first one.
+         */
+        @Test
+        void aReleaseFollowsAnAcquisitionWithoutAnswer() {
+            keeper.tick();
+            keeper.release();
+            connection.failCommits(DelayingTable.Fault.ANSWER_LOST);
+            keeper.tick();
+            keeper.release();
+            second.tick();
+
+            assertThat(second.current()).isPresent();
+        }
+    }
 }
