--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -20,11 +22,15 @@
  * Acquires, renews and releases one lease.
  *
  * <p>An instance takes over the lease after it has observed the row unchanged for the whole lease
- * time by its own monotonic clock, so clocks need no synchronisation. There are two rows: {@code
- * lease/<name>} changes with each renewal, and {@code lease/<name>/epoch} only with each
- * acquisition. The version of the latter fences the holder's writes, and its renewals and releases:
- * the name in the row alone does not tell whether another process of that name has acquired the
- * lease.
+ * time by its own monotonic clock, so clocks need no synchronisation. If the row has its own name
+ * although it does not hold the lease, the answer to its acquisition or release was lost, or its
+ * former process held the lease: it acquires the lease anew at once, which fences whatever was
+ * carried out before. It waits if another process of its name has taken the lease from it, so that
+ * the two do not take it from each other again and again, and if several of its acquisitions in a
+ * row were not answered. There are two rows: {@code lease/<name>} changes with each renewal, and
+ * {@code lease/<name>/epoch} only with each acquisition. The version of the latter fences the
+ * holder's writes, and its renewals and releases: the name in the row alone does not tell whether
+ * another process of that name has acquired the lease.
  *
  * <p>Calls of one keeper to the table do not overlap: a tick is skipped while another call is in
  * flight, and a release follows it.
@@ -36,6 +42,13 @@
     /** Time between renewals, in milliseconds. */
     public static final long RENEW_MILLIS = 2_000;
 
+    /**
+     * Acquisitions without an answer after which this instance no longer acquires a lease in its
+     * name at once. Each of them may have been carried out and changed the row, so that the lease
+     * never seems to have expired to the others.
+     */
+    private static final int MAX_UNANSWERED_ACQUISITIONS = 2;
+
     private final TransactionalTable table;
     private final RowCodec<LeaseRow> codec;
     private final RowKey leaseKey;
@@ -50,6 +63,12 @@
     private Lease held;
     private long heldUntilMillis;
 
+    /** Whether another process has taken the lease from this one. */
+    private boolean superseded;
+
+    /** Acquisitions in a row that may have been carried out although the table did not answer. */
+    private int unansweredAcquisitions;
+
     /** The last tick or release, until it is answered. */
     private CompletableFuture<Void> callInFlight;
 
@@ -180,7 +199,7 @@
         leaseToRelease().ifPresent(lease -> transaction.require(lease.fence()));
         LeaseRow free = new LeaseRow("", decode(row.get()).renewals() + 1);
         transaction.replace(row.get(), codec.encode(free));
-        return table.commit(transaction.build()).thenApply(result -> null);
+        return table.commit(transaction.build()).thenAccept(this::dropLeaseIfFenced);
     }
 
     private CompletionStage<Void> renewOrAcquire(Optional<Row> row, long startedMillis) {
@@ -190,17 +209,16 @@
         if (row.isEmpty()) {
             return acquire(Transaction.builder().insert(leaseKey, encode(0)), startedMillis, 0);
         }
-        if (!isOwn(row.get())) {
+        boolean own = isOwn(row.get());
+        if (own && isHeld()) {
+            return renew(row.get(), startedMillis);
+        }
+        if (!own) {
             // If this instance acquires the lease again later and the result is lost, it would
             // otherwise renew that lease with the outdated fence.
-            dropLease();
-        } else if (isHeld()) {
-            return renew(row.get(), startedMillis);
+            dropLease(false);
         }
-        String holder = decode(row.get()).holder();
-        boolean free = holder.isEmpty() || options.hasProcessEnded().test(holder);
-        long required = (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
-        if (!isUnchangedFor(required, row.get())) {
+        if (!isUnchangedFor(requiredMillis(row.get()), row.get())) {
             return CompletableFuture.completedFuture(null);
         }
         long renewals = decode(row.get()).renewals() + 1;
@@ -209,6 +227,16 @@
         return acquire(acquisition, startedMillis, renewals);
     }
 
+    /** How long the row must not have changed before this instance acquires the lease. */
+    private long requiredMillis(Row row) {
+        if (isOwn(row) && mayAcquireOwnAtOnce()) {
+            return 0;
+        }
+        String holder = decode(row).holder();
+        boolean free = holder.isEmpty() || options.hasProcessEnded().test(holder);
+        return (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
+    }
+
     private CompletionStage<Void> renew(Row row, long startedMillis) {
         Optional<Lease> lease = currentOrExpired();
         if (lease.isEmpty()) {
@@ -224,11 +252,9 @@
                         result -> {
                             if (result.isCommitted()) {
                                 extendLease(startedMillis);
-                            } else if (result.conflict().equals(Optional.of(epochKey))) {
-                                dropLease();
+                            } else {
+                                dropLeaseIfFenced(result);
                             }
-                            // Otherwise only the lease row has changed, by a late renewal of this
-                            // instance: each acquisition writes both rows.
                         });
     }
 
@@ -238,9 +264,27 @@
         transaction.put(epochKey, self.value());
         options.announcementKey().ifPresent(key -> transaction.put(key, self.value()));
         return table.commit(transaction.build())
+                .whenComplete((result, failure) -> countUnanswered(failure))
                 .thenAccept(result -> recordAcquisition(result, startedMillis, renewals));
     }
 
+    private void countUnanswered(Throwable failure) {
+        lock.lock();
+        try {
+            if (failure == null) {
+                unansweredAcquisitions = 0;
+            } else if (isOutcomeUnknown(failure)) {
+                unansweredAcquisitions++;
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static boolean isOutcomeUnknown(Throwable failure) {
+        return QuetzalscaleException.from(failure).kind() != ErrorKind.STORE_UNAVAILABLE;
+    }
+
     private void recordAcquisition(CommitResult result, long startedMillis, long renewals) {
         if (!result.isCommitted()) {
             return;
@@ -253,6 +297,7 @@
                 return;
             }
             held = acquired;
+            superseded = false;
             heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
             lock.unlock();
@@ -268,10 +313,22 @@
         }
     }
 
-    private void dropLease() {
+    /**
+     * Drops the lease if another process has acquired it. A conflict on the lease row alone is no
+     * acquisition, since each acquisition writes both rows, but a late renewal of this instance.
+     */
+    private void dropLeaseIfFenced(CommitResult result) {
+        if (result.conflict().equals(Optional.of(epochKey))) {
+            dropLease(true);
+        }
+    }
+
+    private void dropLease(boolean isSuperseded) {
         lock.lock();
         try {
             held = null;
+            superseded = isSuperseded;
+            unansweredAcquisitions = 0;
         } finally {
             lock.unlock();
         }
@@ -304,6 +361,15 @@
         }
     }
 
+    private boolean mayAcquireOwnAtOnce() {
+        lock.lock();
+        try {
+            return !superseded && unansweredAcquisitions <= MAX_UNANSWERED_ACQUISITIONS;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private boolean isReleasing() {
         lock.lock();
         try {
