--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -6,8 +6,6 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
-import org.quetzalscale.core.error.ErrorKind;
-import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -42,13 +40,6 @@
     /** Time between renewals, in milliseconds. */
     public static final long RENEW_MILLIS = 2_000;
 
-    /**
-     * Acquisitions without an answer after which this instance no longer acquires a lease in its
-     * name at once. Each of them may have been carried out and changed the row, so that the lease
-     * never seems to have expired to the others.
-     */
-    private static final int MAX_UNANSWERED_ACQUISITIONS = 2;
-
     private final TransactionalTable table;
     private final RowCodec<LeaseRow> codec;
     private final RowKey leaseKey;
@@ -56,6 +47,7 @@
     private final InstanceId self;
     private final TimeSource time;
     private final Options options;
+    private final UnansweredAcquisitions unanswered;
     private final ReentrantLock lock = new ReentrantLock();
 
     private long observedVersion = -1;
@@ -66,9 +58,6 @@
     /** Whether another process has taken the lease from this one. */
     private boolean superseded;
 
-    /** Acquisitions in a row that may have been carried out although the table did not answer. */
-    private int unansweredAcquisitions;
-
     /** The last tick or release, until it is answered. */
     private CompletableFuture<Void> callInFlight;
 
@@ -87,14 +76,21 @@
      * @param announcementKey row that each acquisition writes as well, so that the change feed of
      *     its table shows an acquisition before all later changes
      * @param waitMillis how long to leave a lease that may be taken to others, in milliseconds
+     * @param listener receives what becomes known about acquisitions without an answer
      */
     public record Options(
             long leaseMillis,
             Predicate<String> hasProcessEnded,
             Optional<RowKey> announcementKey,
-            LongSupplier waitMillis) {
+            LongSupplier waitMillis,
+            AcquisitionListener listener) {
         static final Options DEFAULT =
-                new Options(LEASE_MILLIS, holder -> false, Optional.empty(), () -> 0);
+                new Options(
+                        LEASE_MILLIS,
+                        holder -> false,
+                        Optional.empty(),
+                        () -> 0,
+                        (outcome, detail) -> {});
     }
 
     /**
@@ -126,6 +122,7 @@
         this.self = self;
         this.time = time;
         this.options = options;
+        this.unanswered = new UnansweredAcquisitions(self, options.listener());
     }
 
     /**
@@ -207,8 +204,9 @@
             return CompletableFuture.completedFuture(null);
         }
         if (row.isEmpty()) {
-            return acquire(Transaction.builder().insert(leaseKey, encode(0)), startedMillis, 0);
+            return acquire(row, startedMillis);
         }
+        unanswered.rowRead(decode(row.get()).holder(), row.get().version());
         boolean own = isOwn(row.get());
         if (own && isHeld()) {
             return renew(row.get(), startedMillis);
@@ -221,15 +219,12 @@
         if (!isUnchangedFor(requiredMillis(row.get()), row.get())) {
             return CompletableFuture.completedFuture(null);
         }
-        long renewals = decode(row.get()).renewals() + 1;
-        Transaction.Builder acquisition =
-                Transaction.builder().replace(row.get(), encode(renewals));
-        return acquire(acquisition, startedMillis, renewals);
+        return acquire(row, startedMillis);
     }
 
     /** How long the row must not have changed before this instance acquires the lease. */
     private long requiredMillis(Row row) {
-        if (isOwn(row) && mayAcquireOwnAtOnce()) {
+        if (isOwn(row) && !isSuperseded() && unanswered.mayAcquireAtOnce()) {
             return 0;
         }
         String holder = decode(row).holder();
@@ -258,33 +253,31 @@
                         });
     }
 
-    private CompletionStage<Void> acquire(
-            Transaction.Builder transaction, long startedMillis, long renewals) {
+    private CompletionStage<Void> acquire(Optional<Row> row, long startedMillis) {
         forgetLeaseToRelease();
-        transaction.put(epochKey, self.value());
+        long renewals = row.map(r -> decode(r).renewals() + 1).orElse(0L);
+        long rowVersion = row.map(Row::version).orElse(Condition.ABSENT);
+        Transaction.Builder transaction =
+                Transaction.builder()
+                        .require(new Condition(leaseKey, rowVersion))
+                        .put(leaseKey, encode(renewals))
+                        .put(epochKey, self.value());
         options.announcementKey().ifPresent(key -> transaction.put(key, self.value()));
         return table.commit(transaction.build())
-                .whenComplete((result, failure) -> countUnanswered(failure))
+                .whenComplete((result, failure) -> noteAnswer(rowVersion, result, failure))
                 .thenAccept(result -> recordAcquisition(result, startedMillis, renewals));
     }
 
-    private void countUnanswered(Throwable failure) {
-        lock.lock();
-        try {
-            if (failure == null) {
-                unansweredAcquisitions = 0;
-            } else if (isOutcomeUnknown(failure)) {
-                unansweredAcquisitions++;
-            }
-        } finally {
-            lock.unlock();
+    private void noteAnswer(long rowVersion, CommitResult result, Throwable failure) {
+        if (failure != null) {
+            unanswered.failed(rowVersion, failure);
+        } else if (result.isCommitted()) {
+            unanswered.committed();
+        } else {
+            unanswered.rejected();
         }
     }
 
-    private static boolean isOutcomeUnknown(Throwable failure) {
-        return QuetzalscaleException.from(failure).kind() != ErrorKind.STORE_UNAVAILABLE;
-    }
-
     private void recordAcquisition(CommitResult result, long startedMillis, long renewals) {
         if (!result.isCommitted()) {
             return;
@@ -328,7 +321,6 @@
         try {
             held = null;
             superseded = isSuperseded;
-            unansweredAcquisitions = 0;
         } finally {
             lock.unlock();
         }
@@ -361,10 +353,10 @@
         }
     }
 
-    private boolean mayAcquireOwnAtOnce() {
+    private boolean isSuperseded() {
         lock.lock();
         try {
-            return !superseded && unansweredAcquisitions <= MAX_UNANSWERED_ACQUISITIONS;
+            return superseded;
         } finally {
             lock.unlock();
         }
--- a/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
+++ b/core/src/test/java/org/quetzalscale/core/lease/LeaseKeeperTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.id.InstanceId;
@@ -14,7 +15,7 @@
 
 /** Tests mutual exclusion, fencing and takeover of leases. */
 class LeaseKeeperTest {
-    private static final RowCodec<LeaseRow> CODEC =
+    static final RowCodec<LeaseRow> CODEC =
             new RowCodec<>() {
                 @Override
                 public String encode(LeaseRow value) {
@@ -66,8 +67,9 @@
                     new LeaseKeeper.Options(
                             1_500,
                             holder -> false,
-                            java.util.Optional.of(announcement),
-                            () -> waitMillis);
+                            Optional.of(announcement),
+                            () -> waitMillis,
+                            (outcome, detail) -> {});
             return new LeaseKeeper(
                     table, CODEC, "fleet", new InstanceId(name), () -> nowMillis, options);
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -1,14 +1,17 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.lease.AcquisitionOutcome;
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.lease.LeaseKeeper;
 import org.quetzalscale.core.lease.LeaseRow;
 import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.net.json.Json;
+import org.tinylog.Logger;
 
 /**
  * Competes for the owner's lease, and owns the fleet while it holds the lease.
@@ -58,7 +61,16 @@
                                 // earlier lease has ended.
                                 holder -> holder.startsWith(name) && !holder.equals(self),
                                 Optional.of(FleetRows.OWNER),
-                                preference::waitMillis));
+                                preference::waitMillis,
+                                OwnerService::logAcquisition));
+    }
+
+    /** Tells on-call why the fleet has no owner although the lease row changes. */
+    private static void logAcquisition(AcquisitionOutcome outcome, String detail) {
+        Logger.warn(
+                "event=lease_acquisition outcome={} detail=\"{}\"",
+                outcome.name().toLowerCase(Locale.ROOT),
+                detail);
     }
 
     /** Starts competing for the lease. */
