--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -18,8 +18,8 @@
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.schedule.MaintenancePlanner;
 import org.quetzalscale.core.schedule.PoolBalancer;
+import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
-import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.net.json.Json;
 import org.tinylog.Logger;
 
@@ -40,6 +40,7 @@
     private final Map<WorkerId, WorkerSession> sessions;
     private final Map<Long, MaintenancePlanner> planners = new LinkedHashMap<>();
     private final Map<Long, String> publishedDone = new HashMap<>();
+    private final Map<Long, OwnedRow> waveRows = new HashMap<>();
     private final PoolBalancer balancer;
     private final InstanceOrderLog orderLog;
 
@@ -272,21 +273,13 @@
             return;
         }
         publishedDone.put(planner.number(), done);
-        Transaction transaction =
-                Transaction.builder()
-                        .require(lease.fence())
-                        .put(FleetRows.wave(planner.number()), done)
-                        .put(
-                                context.waveStatus().key().apply(planner.number()),
-                                context.waveStatus().text().apply(planner.number(), completed))
-                        .build();
-        context.table()
-                .commit(transaction)
+        waveRow(planner)
+                .write(() -> progressRows(planner))
                 .whenComplete(
-                        (result, failure) -> {
+                        (isOwner, failure) -> {
                             if (failure != null) {
                                 publishedDone.remove(planner.number());
-                            } else if (!result.isCommitted()) {
+                            } else if (!isOwner) {
                                 term.fenced("store");
                             } else if (completed) {
                                 Logger.info("event=wave_completed wave={}", planner.number());
@@ -294,6 +287,21 @@
                         });
     }
 
+    private OwnedRow waveRow(MaintenancePlanner planner) {
+        return waveRows.computeIfAbsent(
+                planner.number(),
+                number -> new OwnedRow(context.table(), lease.fence(), FleetRows.wave(number)));
+    }
+
+    private List<Mutation> progressRows(MaintenancePlanner planner) {
+        long number = planner.number();
+        return List.of(
+                Mutation.put(FleetRows.wave(number), encodeDone(planner)),
+                Mutation.put(
+                        context.waveStatus().key().apply(number),
+                        context.waveStatus().text().apply(number, planner.isCompleted())));
+    }
+
     private static String encodeDone(MaintenancePlanner planner) {
         ArrayNode ids = JsonNodeFactory.instance.arrayNode();
         planner.done().stream().sorted().forEach(id -> ids.add(id.value()));
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceOrderLog.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceOrderLog.java
@@ -6,13 +6,15 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.table.Condition;
+import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
-import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.net.json.Json;
 import org.tinylog.Logger;
 
@@ -29,7 +31,7 @@
     private static final long MARGIN_MILLIS = 1_000;
 
     private final FleetContext context;
-    private final Condition fence;
+    private final OwnedRow row;
     private final WorkerSession.Term term;
     private final long retentionMillis;
     private final Map<InstanceId, Long> orderedMillis = new HashMap<>();
@@ -37,7 +39,7 @@
 
     InstanceOrderLog(FleetContext context, Condition fence, WorkerSession.Term term) {
         this.context = context;
-        this.fence = fence;
+        this.row = new OwnedRow(context.table(), fence, FleetRows.RECENT_ORDERS);
         this.term = term;
         this.retentionMillis = context.times().ownerHandover() + MARGIN_MILLIS;
     }
@@ -61,17 +63,17 @@
             return;
         }
         orderedMillis.values().removeIf(ordered -> now - ordered > retentionMillis);
-        Set<InstanceId> recent = new HashSet<>(orderedMillis.keySet());
         // If the answer is lost, either the old or the new record may be stored.
         recorded = Set.of();
-        context.table()
-                .commit(
-                        Transaction.builder()
-                                .require(fence)
-                                .put(FleetRows.RECENT_ORDERS, encode(recent))
-                                .build())
+        AtomicReference<Set<InstanceId>> recent = new AtomicReference<>();
+        row.write(
+                        () -> {
+                            recent.set(Set.copyOf(orderedMillis.keySet()));
+                            return List.of(
+                                    Mutation.put(FleetRows.RECENT_ORDERS, encode(recent.get())));
+                        })
                 .whenComplete(
-                        (result, failure) -> {
+                        (isOwner, failure) -> {
                             if (term.ended()) {
                                 return;
                             }
@@ -80,8 +82,8 @@
                                         "event=orders_unrecorded instances={} cause=\"{}\"",
                                         ids.size(),
                                         failure.getMessage());
-                            } else if (result.isCommitted()) {
-                                recorded = recent;
+                            } else if (isOwner) {
+                                recorded = recent.get();
                             } else {
                                 term.fenced("store");
                                 return;
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -15,10 +15,10 @@
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.schedule.OrderSender;
 import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.RowSnapshot;
-import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobProgress;
 import org.quetzalscale.core.task.StartOrder;
@@ -69,6 +69,7 @@
     private final EndedJobs endedJobs;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
+    private final OwnedRow waitingRow;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final WorkerDirectory workers;
@@ -112,6 +113,7 @@
                         sessions,
                         endedJobs::add,
                         onFenced);
+        this.waitingRow = new OwnedRow(context.table(), lease.fence(), FleetRows.WAITING);
         this.instanceController = new InstanceController(context, policies, lease, this, sessions);
     }
 
@@ -404,26 +406,26 @@
         return listKnown && scheduler.allWorkersReported();
     }
 
+    private String waitingCounts() {
+        ObjectNode counts = JsonNodeFactory.instance.objectNode();
+        scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
+        return counts.toString();
+    }
+
     private void publishPeriodically() {
         if (ended) {
             return;
         }
-        ObjectNode counts = JsonNodeFactory.instance.objectNode();
-        scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
-        String text = counts.toString();
+        String text = waitingCounts();
         if (!text.equals(publishedCounts)) {
             publishedCounts = text;
-            context.table()
-                    .commit(
-                            Transaction.builder()
-                                    .require(lease.fence())
-                                    .put(FleetRows.WAITING, text)
-                                    .build())
+            waitingRow
+                    .write(() -> List.of(Mutation.put(FleetRows.WAITING, waitingCounts())))
                     .whenComplete(
-                            (result, failure) -> {
+                            (isOwner, failure) -> {
                                 if (failure != null) {
                                     publishedCounts = "";
-                                } else if (!result.isCommitted()) {
+                                } else if (!isOwner) {
                                     fenced("store");
                                 }
                             });
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
@@ -25,10 +25,10 @@
     volatile boolean unavailable;
 
     /**
-     * Whether the next transaction of progress gets no answer, and is carried out only by {@link
-     * #releaseHeld}.
+     * The next transaction that writes a key with this prefix gets no answer, and is carried out
+     * only by {@link #releaseHeld}.
      */
-    volatile boolean holdNextProgress;
+    private Optional<String> heldPrefix = Optional.empty();
 
     private Transaction heldTransaction;
 
@@ -58,10 +58,8 @@
         if (unavailable) {
             return failUnavailable();
         }
-        if (holdNextProgress
-                && transaction.mutations().stream()
-                        .anyMatch(m -> m.key().value().startsWith("progress/"))) {
-            holdNextProgress = false;
+        if (heldPrefix.isPresent() && writes(transaction, heldPrefix.get())) {
+            heldPrefix = Optional.empty();
             heldTransaction = transaction;
             return CompletableFuture.failedFuture(
                     new QuetzalscaleException(ErrorKind.STORE_OUTCOME_UNKNOWN, "no answer"));
@@ -69,6 +67,16 @@
         return apply(transaction);
     }
 
+    private static boolean writes(Transaction transaction, String prefix) {
+        return transaction.mutations().stream()
+                .anyMatch(mutation -> mutation.key().value().startsWith(prefix));
+    }
+
+    /** Holds back the next transaction that writes a key with this prefix. */
+    synchronized void holdNext(String prefix) {
+        heldPrefix = Optional.of(prefix);
+    }
+
     /** Carries out the transaction that was held back. */
     synchronized void releaseHeld() {
         apply(heldTransaction);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
@@ -106,6 +106,33 @@
         assertThat(read(record)).containsExactlyInAnyOrder(FIRST, SECOND);
     }
 
+    /**
+     * Guards against an order that the next owner does not know of, because an older record that
+     * got no answer was carried out after the newer one.
+     */
+    @Test
+    void aLateRecordDoesNotReplaceANewerOne() {
+        InstanceOrderLog record = record(Condition.ABSENT);
+        table.holdNext(FleetRows.RECENT_ORDERS.value());
+        record.recordThenSend(List.of(FIRST), () -> sent.add(FIRST));
+        record.recordThenSend(List.of(SECOND), () -> sent.add(SECOND));
+        table.releaseHeld();
+
+        assertThat(sent).containsExactly(FIRST, SECOND);
+        assertThat(read(record(Condition.ABSENT))).containsExactlyInAnyOrder(FIRST, SECOND);
+    }
+
+    /** Guards against a record that is not written because the row was written before the term. */
+    @Test
+    void recordsAfterOtherOwners() {
+        record(Condition.ABSENT).recordThenSend(List.of(FIRST), () -> sent.add(FIRST));
+        InstanceOrderLog next = record(Condition.ABSENT);
+        next.recordThenSend(List.of(SECOND), () -> sent.add(SECOND));
+
+        assertThat(sent).containsExactly(FIRST, SECOND);
+        assertThat(read(next)).containsExactly(SECOND);
+    }
+
     /** Guards against orders of an owner that was replaced. */
     @Test
     void sendsNothingOnceAnotherOwnsTheFleet() {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -29,11 +29,13 @@
 import org.quetzalscale.core.instance.InstanceAnswer;
 import org.quetzalscale.core.instance.InstanceCalls;
 import org.quetzalscale.core.instance.InstanceState;
+import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
 import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -56,10 +58,13 @@
     private static final JobId JOB = new JobId("00000000000000aa");
     private static final TaskRef FIRST = new TaskRef(JOB, 0, 0, 0);
     private static final TaskRef SECOND = new TaskRef(JOB, 0, 1, 0);
+    private static final InstanceId IDLE_INSTANCE = new InstanceId("m-2");
+    private static final Optional<String> ONE_WAITING = Optional.of("{\"quick\":1}");
     private static final long TIMEOUT_MILLIS = 20_000;
 
     private final InMemoryFeedTable table = new InMemoryFeedTable();
     private final FakeWorker worker = new FakeWorker();
+    private final Instances instances = new Instances();
     private final EventLoopGroup group = EventLoops.create(1, "test");
     private final LoopClock clock =
             new LoopClock(group.next(), TimeSource.system(), System::currentTimeMillis);
@@ -89,16 +94,22 @@
     }
 
     private static final class Instances implements InstanceCalls {
+        /** An instance without a worker. */
+        volatile Optional<InstanceId> idle = Optional.empty();
+
         @Override
         public CompletionStage<List<FleetInstance>> list() {
             return CompletableFuture.completedFuture(
-                    List.of(
-                            new FleetInstance(
-                                    new InstanceId("m-1"),
-                                    POOL,
-                                    InstanceState.UP,
-                                    "",
-                                    Optional.of(new WorkerId("i-1")))));
+                    idle.map(id -> List.of(withWorker(), instance(id, Optional.empty())))
+                            .orElse(List.of(withWorker())));
+        }
+
+        private static FleetInstance withWorker() {
+            return instance(new InstanceId("m-1"), Optional.of(new WorkerId("i-1")));
+        }
+
+        private static FleetInstance instance(InstanceId id, Optional<WorkerId> worker) {
+            return new FleetInstance(id, POOL, InstanceState.UP, "", worker);
         }
 
         @Override
@@ -133,7 +144,12 @@
                         Map.of(),
                         Map.of());
         return new PolicyWatcher.OperatorRows(
-                "op", "op//", new RowKey("op//config"), "op//wave/", text -> policy, text -> null);
+                "op",
+                "op//",
+                new RowKey("op//config"),
+                "op//wave/",
+                text -> policy,
+                text -> new WaveRequest(1, List.of(IDLE_INSTANCE), 60_000, 1));
     }
 
     private FleetContext context(String name) {
@@ -144,9 +160,10 @@
                 worker,
                 new FleetContext.WorkerRows(
                         "servers", "servers//", (id, text) -> OwnerServiceTest.entry(id)),
-                new Instances(),
+                instances,
                 new FleetContext.WaveStatusRows(
-                        number -> new RowKey("status//wave/" + number), (number, done) -> ""),
+                        number -> new RowKey("status//wave/" + number),
+                        (number, done) -> done ? "completed" : "open"),
                 new FleetContext.Times(3_000, 2_000, 120_000),
                 new FleetMetrics());
     }
@@ -172,6 +189,10 @@
     private static JobDefinition job(JobId id) {
         StepDefinition first = Steps.ending(1, 1, List.of());
         StepDefinition second = Steps.ending(1, 1, List.of(0));
+        return job(id, List.of(first, second));
+    }
+
+    private static JobDefinition job(JobId id, List<StepDefinition> steps) {
         return new JobDefinition(
                 id,
                 QUEUE,
@@ -179,7 +200,7 @@
                 Optional.empty(),
                 System.currentTimeMillis(),
                 "spec",
-                List.of(first, second),
+                steps,
                 Recurrence.NONE);
     }
 
@@ -272,7 +293,7 @@
         Node node = new Node("node-1");
         submit();
         await("first step", () -> worker.startsOf(FIRST) == 1);
-        table.holdNextProgress = true;
+        table.holdNext("progress/");
         worker.end(FIRST, RunEnd.DONE);
         await("second step", () -> worker.startsOf(SECOND) == 1);
         await("first end recorded", () -> worker.acknowledged() == 1);
@@ -285,6 +306,53 @@
         node.stop();
     }
 
+    /**
+     * Guards against a completed wave that is shown as open for ever, and from which the next owner
+     * would begin again, because an older record without an answer was carried out after the last
+     * one.
+     */
+    @Test
+    void keepsTheNewestRecordOfAWaveWhenAWriteIsLate() {
+        table.put("op//wave/1", "wave");
+        table.holdNext(FleetRows.wave(1).value());
+        instances.idle = Optional.of(IDLE_INSTANCE);
+        Node node = new Node("node-1");
+        await("second record", () -> textOf("status//wave/1").equals(Optional.of("open")));
+        instances.idle = Optional.empty();
+        await("completion", () -> textOf("status//wave/1").equals(Optional.of("completed")));
+
+        run(table::releaseHeld);
+        onLoop(() -> true);
+
+        assertThat(textOf("status//wave/1")).contains("completed");
+        assertThat(textOf(FleetRows.wave(1).value())).contains("[\"m-2\"]");
+        node.stop();
+    }
+
+    /**
+     * Guards against a number of waiting jobs that stays wrong until it changes again, because an
+     * older one was written after it.
+     */
+    @Test
+    void keepsTheNewestNumberOfWaitingJobsWhenAWriteIsLate() {
+        table.holdNext(FleetRows.WAITING.value());
+        Node node = new Node("node-1");
+        await("second record", () -> textOf(FleetRows.WAITING.value()).isPresent());
+        StepDefinition tooLarge = Steps.ending(1, 100, List.of());
+        submit(job(JOB, List.of(tooLarge)));
+        await("record", () -> textOf(FleetRows.WAITING.value()).equals(ONE_WAITING));
+
+        run(table::releaseHeld);
+        onLoop(() -> true);
+
+        assertThat(textOf(FleetRows.WAITING.value())).isEqualTo(ONE_WAITING);
+        node.stop();
+    }
+
+    private Optional<String> textOf(String key) {
+        return table.read(new RowKey(key)).toCompletableFuture().join().map(Row::value);
+    }
+
     /**
      * Guards against a second run of a job that ended under an earlier owner: an owner reads all
      * jobs again when the table drops its history.
