--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -20,9 +20,18 @@
  * Acquires, renews and releases one lease.
  *
  * <p>An instance takes over the lease after it has observed the row unchanged for the whole lease
- * time by its own monotonic clock, so clocks need no synchronisation. There are two rows: {@code
- * lease/<name>} changes with each renewal, and {@code lease/<name>/epoch} only with each
- * acquisition. The version of the latter fences the holder's writes.
+ * time by its own monotonic clock, so clocks need no synchronisation. If the row has its own name
+ * although it does not hold the lease, the answer to its acquisition or release was lost, or its
+ * former process held the lease: it acquires the lease anew at once, which fences whatever was
+ * carried out before. It waits if another process of its name has taken the lease from it, so that
+ * the two do not take it from each other again and again, and if several of its acquisitions in a
+ * row were not answered. There are two rows: {@code lease/<name>} changes with each renewal, and
+ * {@code lease/<name>/epoch} only with each acquisition. The version of the latter fences the
+ * holder's writes, and its renewals and releases: the name in the row alone does not tell whether
+ * another process of that name has acquired the lease.
+ *
+ * <p>Calls of one keeper to the table do not overlap: a tick is skipped while another call is in
+ * flight, and a release follows it.
  */
 public final class LeaseKeeper {
     /** Lease time: the time after which an unchanged lease may be taken over, in milliseconds. */
@@ -38,13 +47,25 @@
     private final InstanceId self;
     private final TimeSource time;
     private final Options options;
+    private final UnansweredAcquisitions unanswered;
     private final ReentrantLock lock = new ReentrantLock();
 
     private long observedVersion = -1;
     private long observedSinceMillis;
     private Lease held;
     private long heldUntilMillis;
-    private boolean tickInFlight;
+
+    /** Whether another process has taken the lease from this one. */
+    private boolean superseded;
+
+    /** The last tick or release, until it is answered. */
+    private CompletableFuture<Void> callInFlight;
+
+    /** Whether a release is waiting or in flight. */
+    private boolean releasing;
+
+    /** The lease that {@link #release} gives back; null if its acquisition was not answered. */
+    private Lease toRelease;
 
     /**
      * How a keeper takes the lease.
@@ -55,14 +76,21 @@
      * @param announcementKey row that each acquisition writes as well, so that the change feed of
      *     its table shows an acquisition before all later changes
      * @param waitMillis how long to leave a lease that may be taken to others, in milliseconds
+     * @param listener receives what becomes known about acquisitions without an answer
      */
     public record Options(
             long leaseMillis,
             Predicate<String> hasProcessEnded,
             Optional<RowKey> announcementKey,
-            LongSupplier waitMillis) {
+            LongSupplier waitMillis,
+            AcquisitionListener listener) {
         static final Options DEFAULT =
-                new Options(LEASE_MILLIS, holder -> false, Optional.empty(), () -> 0);
+                new Options(
+                        LEASE_MILLIS,
+                        holder -> false,
+                        Optional.empty(),
+                        () -> 0,
+                        (outcome, detail) -> {});
     }
 
     /**
@@ -94,6 +122,7 @@
         this.self = self;
         this.time = time;
         this.options = options;
+        this.unanswered = new UnansweredAcquisitions(self, options.listener());
     }
 
     /**
@@ -129,7 +158,8 @@
      * stage never fails: after an error of the table, the next call retries.
      */
     public CompletionStage<Void> tick() {
-        if (!tryBeginTick()) {
+        CompletableFuture<Void> call = new CompletableFuture<>();
+        if (!tryBeginTick(call)) {
             return CompletableFuture.completedFuture(null);
         }
         long startedMillis = time.nowMillis();
@@ -137,87 +167,130 @@
                 .thenCompose(row -> renewOrAcquire(row, startedMillis))
                 .handle(
                         (result, failure) -> {
-                            endTick();
+                            endCall(call);
                             return null;
                         });
     }
 
-    /** Releases the lease, so that another instance can acquire it at once. */
+    /**
+     * Releases the lease, so that another instance can acquire it at once. A tick in flight is
+     * awaited first, because it may acquire or renew the lease.
+     */
     public CompletionStage<Void> release() {
-        lock.lock();
-        try {
-            held = null;
-            heldUntilMillis = 0;
-        } finally {
-            lock.unlock();
+        CompletableFuture<Void> call = new CompletableFuture<>();
+        return beginRelease(call)
+                .thenCompose(ignored -> table.read(leaseKey))
+                .thenCompose(this::free)
+                .handle(
+                        (result, failure) -> {
+                            endCall(call);
+                            return null;
+                        });
+    }
+
+    private CompletionStage<Void> free(Optional<Row> row) {
+        if (row.isEmpty() || !isOwn(row.get())) {
+            return CompletableFuture.completedFuture(null);
         }
-        return table.read(leaseKey)
-                .thenCompose(
-                        row -> {
-                            if (row.isEmpty() || !isOwn(row.get())) {
-                                return CompletableFuture.completedFuture(null);
-                            }
-                            LeaseRow free = new LeaseRow("", decode(row.get()).renewals() + 1);
-                            return table.commit(
-                                    Transaction.builder()
-                                            .replace(row.get(), codec.encode(free))
-                                            .build());
-                        })
-                .handle((result, failure) -> null);
+        Transaction.Builder transaction = Transaction.builder();
+        leaseToRelease().ifPresent(lease -> transaction.require(lease.fence()));
+        LeaseRow free = new LeaseRow("", decode(row.get()).renewals() + 1);
+        transaction.replace(row.get(), codec.encode(free));
+        return table.commit(transaction.build()).thenAccept(this::dropLeaseIfFenced);
     }
 
     private CompletionStage<Void> renewOrAcquire(Optional<Row> row, long startedMillis) {
+        if (isReleasing()) {
+            return CompletableFuture.completedFuture(null);
+        }
         if (row.isEmpty()) {
-            return acquire(Transaction.builder().insert(leaseKey, encode(0)), startedMillis, 0);
+            return acquire(row, startedMillis);
+        }
+        unanswered.rowRead(decode(row.get()).holder(), row.get().version());
+        boolean own = isOwn(row.get());
+        if (own && isHeld()) {
+            return renew(row.get(), startedMillis);
         }
-        if (!isOwn(row.get())) {
+        if (!own) {
             // If this instance acquires the lease again later and the result is lost, it would
             // otherwise renew that lease with the outdated fence.
-            dropLease();
-        } else if (isHeld()) {
-            return renew(row.get(), startedMillis);
+            dropLease(false);
         }
-        String holder = decode(row.get()).holder();
-        boolean free = holder.isEmpty() || options.hasProcessEnded().test(holder);
-        long required = (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
-        if (!isUnchangedFor(required, row.get())) {
+        if (!isUnchangedFor(requiredMillis(row.get()), row.get())) {
             return CompletableFuture.completedFuture(null);
         }
-        long renewals = decode(row.get()).renewals() + 1;
-        Transaction.Builder acquisition =
-                Transaction.builder().replace(row.get(), encode(renewals));
-        return acquire(acquisition, startedMillis, renewals);
+        return acquire(row, startedMillis);
+    }
+
+    /** How long the row must not have changed before this instance acquires the lease. */
+    private long requiredMillis(Row row) {
+        if (isOwn(row) && !isSuperseded() && unanswered.mayAcquireAtOnce()) {
+            return 0;
+        }
+        String holder = decode(row).holder();
+        boolean free = holder.isEmpty() || options.hasProcessEnded().test(holder);
+        return (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
     }
 
     private CompletionStage<Void> renew(Row row, long startedMillis) {
+        Optional<Lease> lease = currentOrExpired();
+        if (lease.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
         Transaction renewal =
-                Transaction.builder().replace(row, encode(decode(row).renewals() + 1)).build();
+                Transaction.builder()
+                        .require(lease.get().fence())
+                        .replace(row, encode(decode(row).renewals() + 1))
+                        .build();
         return table.commit(renewal)
                 .thenAccept(
                         result -> {
                             if (result.isCommitted()) {
                                 extendLease(startedMillis);
                             } else {
-                                dropLease();
+                                dropLeaseIfFenced(result);
                             }
                         });
     }
 
-    private CompletionStage<Void> acquire(
-            Transaction.Builder transaction, long startedMillis, long renewals) {
-        transaction.put(epochKey, self.value());
+    private CompletionStage<Void> acquire(Optional<Row> row, long startedMillis) {
+        forgetLeaseToRelease();
+        long renewals = row.map(r -> decode(r).renewals() + 1).orElse(0L);
+        long rowVersion = row.map(Row::version).orElse(Condition.ABSENT);
+        Transaction.Builder transaction =
+                Transaction.builder()
+                        .require(new Condition(leaseKey, rowVersion))
+                        .put(leaseKey, encode(renewals))
+                        .put(epochKey, self.value());
         options.announcementKey().ifPresent(key -> transaction.put(key, self.value()));
         return table.commit(transaction.build())
+                .whenComplete((result, failure) -> noteAnswer(rowVersion, result, failure))
                 .thenAccept(result -> recordAcquisition(result, startedMillis, renewals));
     }
 
+    private void noteAnswer(long rowVersion, CommitResult result, Throwable failure) {
+        if (failure != null) {
+            unanswered.failed(rowVersion, failure);
+        } else if (result.isCommitted()) {
+            unanswered.committed();
+        } else {
+            unanswered.rejected();
+        }
+    }
+
     private void recordAcquisition(CommitResult result, long startedMillis, long renewals) {
         if (!result.isCommitted()) {
             return;
         }
         lock.lock();
         try {
-            held = new Lease(new Condition(epochKey, result.version()), renewals);
+            Lease acquired = new Lease(new Condition(epochKey, result.version()), renewals);
+            if (releasing) {
+                toRelease = acquired;
+                return;
+            }
+            held = acquired;
+            superseded = false;
             heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
             lock.unlock();
@@ -233,10 +306,21 @@
         }
     }
 
-    private void dropLease() {
+    /**
+     * Drops the lease if another process has acquired it. A conflict on the lease row alone is no
+     * acquisition, since each acquisition writes both rows, but a late renewal of this instance.
+     */
+    private void dropLeaseIfFenced(CommitResult result) {
+        if (result.conflict().equals(Optional.of(epochKey))) {
+            dropLease(true);
+        }
+    }
+
+    private void dropLease(boolean isSuperseded) {
         lock.lock();
         try {
             held = null;
+            superseded = isSuperseded;
         } finally {
             lock.unlock();
         }
@@ -269,26 +353,85 @@
         }
     }
 
-    private boolean tryBeginTick() {
+    private boolean isSuperseded() {
         lock.lock();
         try {
-            if (tickInFlight) {
+            return superseded;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean isReleasing() {
+        lock.lock();
+        try {
+            return releasing;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private Optional<Lease> leaseToRelease() {
+        lock.lock();
+        try {
+            return Optional.ofNullable(toRelease);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A later release is not to require the fence of a lease before the next acquisition. */
+    private void forgetLeaseToRelease() {
+        lock.lock();
+        try {
+            toRelease = null;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean tryBeginTick(CompletableFuture<Void> call) {
+        lock.lock();
+        try {
+            if (callInFlight != null) {
                 return false;
             }
-            tickInFlight = true;
+            callInFlight = call;
             return true;
         } finally {
             lock.unlock();
         }
     }
 
-    private void endTick() {
+    /** Gives up the lease. The returned stage completes when the call in flight has ended. */
+    private CompletionStage<Void> beginRelease(CompletableFuture<Void> call) {
+        lock.lock();
+        try {
+            CompletableFuture<Void> previous = callInFlight;
+            callInFlight = call;
+            releasing = true;
+            if (held != null) {
+                toRelease = held;
+            }
+            held = null;
+            heldUntilMillis = 0;
+            return previous == null ? CompletableFuture.completedFuture(null) : previous;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void endCall(CompletableFuture<Void> call) {
         lock.lock();
         try {
-            tickInFlight = false;
+            if (callInFlight == call) {
+                callInFlight = null;
+                releasing = false;
+            }
         } finally {
             lock.unlock();
         }
+        call.complete(null);
     }
 
     private LeaseRow decode(Row row) {
