--- a/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
+++ b/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
@@ -35,7 +35,8 @@
     /**
      * Creates the handler of one connection.
      *
-     * @param draining whether connections are closed after their next response
+     * @param draining whether the connection is closed after the responses to the requests that
+     *     have been read
      */
     HttpServerConnection(HttpHandler handler, BooleanSupplier draining) {
         this.handler = handler;
@@ -98,11 +99,18 @@
                                         () -> {
                                             HttpReply sent =
                                                     failure == null ? value : errorReply(failure);
-                                            boolean last = !keepAlive || draining.getAsBoolean();
-                                            write(context, sent, !last);
+                                            write(context, sent, keepAlive && !closesNext());
                                         }));
     }
 
+    /**
+     * Whether to close the connection after the next response. Requests that have been read get
+     * their responses first, because the client cannot know whether an unanswered one has run.
+     */
+    private boolean closesNext() {
+        return draining.getAsBoolean() && pendingRequests.isEmpty();
+    }
+
     private CompletionStage<HttpReply> handle(FullHttpRequest request) {
         try {
             if (request.decoderResult().isFailure()) {
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -52,7 +52,7 @@
         return TcpListeners.port(listener);
     }
 
-    /** Makes each connection close after its next response. */
+    /** Makes each connection close after the responses to the requests that it has read. */
     public void drain() {
         draining = true;
     }
--- /dev/null
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
@@ -0,0 +1,109 @@
+package org.quetzalscale.net.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.net.EventLoops;
+
+/** Requests around the shutdown of a server, sent on plain sockets. */
+class JsonHttpServerDrainTest {
+    private static final int TIMEOUT_MILLIS = 5_000;
+
+    private final EventLoopGroup group = EventLoops.create(1, "test");
+    private final BlockingQueue<ReceivedCall> received = new LinkedBlockingQueue<>();
+    private JsonHttpServer server;
+    private Socket client;
+
+    /** A request that reached the handler, and its pending reply. */
+    private record ReceivedCall(HttpCall call, CompletableFuture<HttpReply> reply) {
+        void answer() {
+            reply.complete(HttpReply.text(200, "text/plain", call.path().getBytes()));
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new JsonHttpServer(loopback(0), group, 1024, this::handle);
+        server.start();
+        client = new Socket();
+        client.connect(loopback(server.port()));
+        client.setSoTimeout(TIMEOUT_MILLIS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        client.close();
+        server.stop();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private CompletionStage<HttpReply> handle(HttpCall call) {
+        ReceivedCall receivedCall = new ReceivedCall(call, new CompletableFuture<>());
+        received.add(receivedCall);
+        return receivedCall.reply();
+    }
+
+    /** Guards against the loss of a pipelined request that waits behind one in progress. */
+    @Test
+    void answersPipelinedRequestsThatWereReadBeforeItCloses() throws Exception {
+        send(get("/first") + get("/second"));
+        ReceivedCall first = nextCall();
+        server.drain();
+        first.answer();
+        nextCall().answer();
+
+        assertThat(readResponse()).endsWith("/first").doesNotContain("connection: close");
+        assertThat(readResponse()).endsWith("/second").contains("connection: close");
+        assertThat(client.getInputStream().read()).isEqualTo(-1);
+    }
+
+    private ReceivedCall nextCall() throws InterruptedException {
+        ReceivedCall call = received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(call).as("request at the handler").isNotNull();
+        return call;
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
+    }
+
+    private void send(String text) throws IOException {
+        client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads one response, whose body is its request's path. */
+    private String readResponse() throws IOException {
+        String head = readHead();
+        int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+        return head + new String(client.getInputStream().readNBytes(length));
+    }
+
+    private String readHead() throws IOException {
+        InputStream input = client.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            assertThat(next).as("byte after: " + head).isNotNegative();
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+}
