--- a/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
+++ b/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -21,16 +22,23 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 
 /** Serves the requests of one connection, one at a time and in order. */
 final class HttpServerConnection extends ChannelDuplexHandler {
+    /**
+     * Time for the last response to reach the client, on a link whose queue takes half a second.
+     */
+    private static final int CLOSE_DELAY_MILLIS = 500;
+
     private final HttpHandler handler;
     private final BooleanSupplier draining;
     private final Queue<FullHttpRequest> pendingRequests = new ArrayDeque<>();
     private boolean busy;
+    private boolean clientKeepsAlive;
 
     /**
      * Creates the handler of one connection.
@@ -85,7 +93,7 @@
             return;
         }
         busy = true;
-        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        clientKeepsAlive = HttpUtil.isKeepAlive(request);
         CompletionStage<HttpReply> reply;
         try {
             reply = handle(request);
@@ -99,7 +107,7 @@
                                         () -> {
                                             HttpReply sent =
                                                     failure == null ? value : errorReply(failure);
-                                            write(context, sent, keepAlive && !closesNext());
+                                            write(context, sent);
                                         }));
     }
 
@@ -144,7 +152,7 @@
                 ByteBufUtil.getBytes(request.content()));
     }
 
-    private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+    private void write(ChannelHandlerContext context, HttpReply reply) {
         if (reply.stream() != null) {
             startStream(context, reply);
             return;
@@ -156,14 +164,29 @@
                         Unpooled.wrappedBuffer(reply.body()));
         setHeaders(response, reply);
         HttpUtil.setContentLength(response, reply.body().length);
+        boolean keepAlive = clientKeepsAlive && !closesNext();
         HttpUtil.setKeepAlive(response, keepAlive);
         var written = context.writeAndFlush(response);
-        if (!keepAlive) {
+        if (keepAlive) {
+            busy = false;
+            serveNext(context);
+        } else if (clientKeepsAlive) {
+            written.addListener(ignored -> endOutput(context));
+        } else {
             written.addListener(ChannelFutureListener.CLOSE);
-            return;
         }
-        busy = false;
-        serveNext(context);
+    }
+
+    /**
+     * Ends the output, and closes the connection after a delay. The client may have sent another
+     * request, and closing a socket with unread bytes resets the connection, which discards what
+     * has not been delivered yet. Further requests stay unread, so that none is taken without a
+     * response.
+     */
+    private static void endOutput(ChannelHandlerContext context) {
+        ((DuplexChannel) context.channel()).shutdownOutput();
+        context.executor()
+                .schedule(() -> context.close(), CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void startStream(ChannelHandlerContext context, HttpReply reply) {
--- a/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
@@ -23,6 +23,11 @@
 class JsonHttpServerDrainTest {
     private static final int TIMEOUT_MILLIS = 5_000;
 
+    /** With a small receive buffer, much of a response waits in the server's send buffer. */
+    private static final int RECEIVE_BUFFER_BYTES = 1 << 16;
+
+    private static final int RESPONSE_BYTES = 1 << 19;
+
     private final EventLoopGroup group = EventLoops.create(1, "test");
     private final BlockingQueue<ReceivedCall> received = new LinkedBlockingQueue<>();
     private JsonHttpServer server;
@@ -40,6 +45,7 @@
         server = new JsonHttpServer(loopback(0), group, 1024, this::handle);
         server.start();
         client = new Socket();
+        client.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         client.connect(loopback(server.port()));
         client.setSoTimeout(TIMEOUT_MILLIS);
     }
@@ -75,6 +81,46 @@
         assertThat(client.getInputStream().read()).isEqualTo(-1);
     }
 
+    /**
+     * Guards against the loss of a response on a slow link: closing a socket with unread bytes
+     * resets the connection, which discards what has not been delivered.
+     */
+    @Test
+    void deliversTheResponseIfTheClientSentMoreBytes() throws Exception {
+        send(get("/first"));
+        ReceivedCall first = nextCall();
+        server.drain();
+        send(get("/unread"));
+        byte[] body = new byte[RESPONSE_BYTES];
+        first.reply().complete(HttpReply.text(200, "text/plain", body));
+
+        assertThat(readHead()).contains("connection: close");
+        assertThat(client.getInputStream().readNBytes(body.length)).hasSize(body.length);
+        assertThat(client.getInputStream().read()).isEqualTo(-1);
+        assertThat(received).isEmpty();
+    }
+
+    /** Guards against a shutdown that never ends because a client does not close its end. */
+    @Test
+    void closesTheConnectionSomeTimeAfterTheLastResponse() throws Exception {
+        send(get("/first"));
+        ReceivedCall first = nextCall();
+        server.drain();
+        first.answer();
+
+        readResponse();
+        assertThat(client.getInputStream().read()).isEqualTo(-1);
+        awaitNoConnections();
+    }
+
+    private void awaitNoConnections() throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        while (server.hasConnections() && System.nanoTime() < deadline) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        assertThat(server.hasConnections()).isFalse();
+    }
+
     private ReceivedCall nextCall() throws InterruptedException {
         ReceivedCall call = received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         assertThat(call).as("request at the handler").isNotNull();
