--- a/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
+++ b/net/src/main/java/org/quetzalscale/net/http/HttpServerConnection.java
@@ -35,6 +35,7 @@
     private static final int CLOSE_DELAY_MILLIS = 500;
 
     private final HttpHandler handler;
+    private final BooleanSupplier receiving;
     private final BooleanSupplier draining;
     private final Queue<FullHttpRequest> pendingRequests = new ArrayDeque<>();
     private boolean busy;
@@ -43,17 +44,19 @@
     /**
      * Creates the handler of one connection.
      *
+     * @param receiving whether a part of a request has been read, but not all of it
      * @param draining whether the connection is closed after the responses to the requests that
      *     have been read
      */
-    HttpServerConnection(HttpHandler handler, BooleanSupplier draining) {
+    HttpServerConnection(HttpHandler handler, BooleanSupplier receiving, BooleanSupplier draining) {
         this.handler = handler;
+        this.receiving = receiving;
         this.draining = draining;
     }
 
-    /** Whether no request is in progress or waiting. */
+    /** Whether no request is being received, waiting or in progress. */
     boolean isIdle() {
-        return !busy && pendingRequests.isEmpty();
+        return !busy && pendingRequests.isEmpty() && !receiving.getAsBoolean();
     }
 
     @Override
@@ -112,11 +115,12 @@
     }
 
     /**
-     * Whether to close the connection after the next response. Requests that have been read get
-     * their responses first, because the client cannot know whether an unanswered one has run.
+     * Whether to close the connection after the next response. Requests that have been read, even
+     * in part, get their responses first, because the client cannot know whether an unanswered one
+     * has run.
      */
     private boolean closesNext() {
-        return draining.getAsBoolean() && pendingRequests.isEmpty();
+        return draining.getAsBoolean() && pendingRequests.isEmpty() && !receiving.getAsBoolean();
     }
 
     private CompletionStage<HttpReply> handle(FullHttpRequest request) {
--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -5,7 +5,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -57,7 +56,10 @@
         draining = true;
     }
 
-    /** Stops listening, and closes the connections without a request in progress or waiting. */
+    /**
+     * Stops listening, and closes the connections without a request that is being received, waiting
+     * or in progress.
+     */
     public void closeIdle() {
         listener.close();
         for (Channel connection : connections) {
@@ -88,10 +90,12 @@
 
     private void initialize(SocketChannel channel) {
         connections.add(channel);
+        RequestAggregator aggregator = new RequestAggregator(maxBodyBytes);
         channel.pipeline()
                 .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS))
                 .addLast(new HttpServerCodec())
-                .addLast(new HttpObjectAggregator(maxBodyBytes))
-                .addLast(new HttpServerConnection(handler, () -> draining));
+                .addLast(aggregator)
+                .addLast(
+                        new HttpServerConnection(handler, aggregator::isReceiving, () -> draining));
     }
 }
--- a/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
@@ -28,6 +28,10 @@
 
     private static final int RESPONSE_BYTES = 1 << 19;
 
+    /** Head of a request whose body has four bytes. */
+    private static final String POST_HEAD =
+            "POST /post HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\n";
+
     private final EventLoopGroup group = EventLoops.create(1, "test");
     private final BlockingQueue<ReceivedCall> received = new LinkedBlockingQueue<>();
     private JsonHttpServer server;
@@ -100,6 +104,51 @@
         assertThat(received).isEmpty();
     }
 
+    /** Guards against a request that is read whole after the response that ends the connection. */
+    @Test
+    void answersARequestThatIsBeingReadBehindTheOneInProgress() throws Exception {
+        send(get("/first") + POST_HEAD + "12");
+        ReceivedCall first = nextCall();
+        server.drain();
+        first.answer();
+
+        assertThat(readResponse()).endsWith("/first").doesNotContain("connection: close");
+        send("34");
+        nextCall().answer();
+        assertThat(readResponse()).endsWith("/post").contains("connection: close");
+    }
+
+    /** Guards against the close of a connection as idle while its client sends a request. */
+    @Test
+    void answersARequestThatIsBeingReadWhenIdleConnectionsAreClosed() throws Exception {
+        send(get("/first") + POST_HEAD + "12");
+        nextCall().answer();
+        readResponse();
+        server.drain();
+        server.closeIdle();
+        runPendingTasks();
+        send("34");
+
+        nextCall().answer();
+        assertThat(readResponse()).endsWith("/post").contains("connection: close");
+    }
+
+    @Test
+    void closesIdleConnections() throws Exception {
+        send(get("/first"));
+        nextCall().answer();
+        readResponse();
+        server.closeIdle();
+
+        assertThat(client.getInputStream().read()).isEqualTo(-1);
+        awaitNoConnections();
+    }
+
+    /** Waits until the event loop has run the tasks that are queued now. */
+    private void runPendingTasks() throws Exception {
+        group.next().submit(() -> {}).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Guards against a shutdown that never ends because a client does not close its end. */
     @Test
     void closesTheConnectionSomeTimeAfterTheLastResponse() throws Exception {
