--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -35,6 +35,9 @@
     /** Time limit for all attempts of a call. */
     private static final long MAX_RETRY_MILLIS = 900;
 
+    /** Time for the store's response to a call that arrives at its deadline or later. */
+    private static final long MIN_RESPONSE_MILLIS = 100;
+
     /** Time in which a starting instance reads its configuration. */
     private static final int STARTUP_SECONDS = 1;
 
@@ -140,15 +143,27 @@
 
     /**
      * Retries an idempotent call. The store may still answer another instance, so the retries end
-     * well before the deadline of the caller.
+     * well before the deadline of the caller. An attempt that lasts longer, such as one that is
+     * relayed, does not delay the response beyond the deadline.
      */
     private <T> CompletionStage<T> retry(Supplier<CompletionStage<T>> call, long deadlineMillis) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        long until = Math.min(deadlineMillis, clock.nowMillis() + MAX_RETRY_MILLIS);
-        attempt(call, until, result, 1, false);
+        long now = clock.nowMillis();
+        clock.after(
+                Math.max(MIN_RESPONSE_MILLIS, deadlineMillis - now), () -> failAtDeadline(result));
+        attempt(call, Math.min(deadlineMillis, now + MAX_RETRY_MILLIS), result, 1, false);
         return result;
     }
 
+    private static void failAtDeadline(CompletableFuture<?> result) {
+        if (!result.isDone()) {
+            result.completeExceptionally(
+                    new QuetzalscaleException(
+                            ErrorKind.STORE_OUTCOME_UNKNOWN,
+                            "the store did not respond before the caller's deadline"));
+        }
+    }
+
     private <T> void attempt(
             Supplier<CompletionStage<T>> call,
             long untilMillis,
