--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -7,8 +7,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.quetzalscale.net.TcpListeners;
 
@@ -23,6 +27,7 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel listener;
     private volatile boolean draining;
+    private volatile boolean idleClosed;
 
     /**
      * Creates a server that does not listen yet.
@@ -61,25 +66,34 @@
      * or in progress.
      */
     public void closeIdle() {
-        listener.close();
+        listener.close().addListener(closed -> closeIdleConnections());
+    }
+
+    /** Runs on each event loop after the setup of the connections that it has accepted. */
+    private void closeIdleConnections() {
+        List<CompletableFuture<Void>> tasks = new ArrayList<>();
+        for (EventExecutor loop : group) {
+            tasks.add(CompletableFuture.runAsync(() -> closeIdleConnections(loop), loop));
+        }
+        CompletableFuture.allOf(tasks.toArray(CompletableFuture[]::new))
+                .thenRun(() -> idleClosed = true);
+    }
+
+    private void closeIdleConnections(EventExecutor loop) {
         for (Channel connection : connections) {
-            connection
-                    .eventLoop()
-                    .execute(
-                            () -> {
-                                if (connection
-                                        .pipeline()
-                                        .get(HttpServerConnection.class)
-                                        .isIdle()) {
-                                    connection.close();
-                                }
-                            });
+            if (connection.eventLoop() == loop
+                    && connection.pipeline().get(HttpServerConnection.class).isIdle()) {
+                connection.close();
+            }
         }
     }
 
-    /** Whether any connection is open. */
-    public boolean hasConnections() {
-        return !connections.isEmpty();
+    /**
+     * Whether {@link #closeIdle} has taken effect and all connections have ended, so that no
+     * request can be in progress.
+     */
+    public boolean isDrained() {
+        return idleClosed && connections.isEmpty();
     }
 
     /** Stops listening and closes all connections. */
--- a/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
+++ b/net/src/test/java/org/quetzalscale/net/http/JsonHttpServerDrainTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -141,7 +142,7 @@
         server.closeIdle();
 
         assertThat(client.getInputStream().read()).isEqualTo(-1);
-        awaitNoConnections();
+        awaitDrained(server);
     }
 
     /** Waits until the event loop has run the tasks that are queued now. */
@@ -155,19 +156,47 @@
         send(get("/first"));
         ReceivedCall first = nextCall();
         server.drain();
+        server.closeIdle();
         first.answer();
 
         readResponse();
         assertThat(client.getInputStream().read()).isEqualTo(-1);
-        awaitNoConnections();
+        awaitDrained(server);
+    }
+
+    /**
+     * Guards against a process that ends while a slow event loop still accepts connections and
+     * reads their requests.
+     */
+    @Test
+    void isNotDrainedBeforeTheEventLoopHasStoppedListening() throws Exception {
+        JsonHttpServer unused = new JsonHttpServer(loopback(0), group, 1024, this::handle);
+        unused.start();
+        CountDownLatch release = new CountDownLatch(1);
+        group.next().execute(() -> await(release));
+        unused.drain();
+        unused.closeIdle();
+        boolean drainedBefore = unused.isDrained();
+        release.countDown();
+
+        assertThat(drainedBefore).isFalse();
+        awaitDrained(unused);
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
-    private void awaitNoConnections() throws InterruptedException {
+    private static void awaitDrained(JsonHttpServer server) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-        while (server.hasConnections() && System.nanoTime() < deadline) {
+        while (!server.isDrained() && System.nanoTime() < deadline) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
-        assertThat(server.hasConnections()).isFalse();
+        assertThat(server.isDrained()).isTrue();
     }
 
     private ReceivedCall nextCall() throws InterruptedException {
