--- a/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
+++ b/net/src/main/java/org/quetzalscale/net/http/JsonHttpServer.java
@@ -5,11 +5,14 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.quetzalscale.net.TcpListeners;
 
@@ -24,6 +27,7 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel listener;
     private volatile boolean draining;
+    private volatile boolean idleClosed;
 
     /**
      * Creates a server that does not listen yet.
@@ -52,32 +56,44 @@
         return TcpListeners.port(listener);
     }
 
-    /** Makes each connection close after its next response. */
+    /** Makes each connection close after the responses to the requests that it has read. */
     public void drain() {
         draining = true;
     }
 
-    /** Stops listening, and closes the connections without a request in progress or waiting. */
+    /**
+     * Stops listening, and closes the connections without a request that is being received, waiting
+     * or in progress.
+     */
     public void closeIdle() {
-        listener.close();
+        listener.close().addListener(closed -> closeIdleConnections());
+    }
+
+    /** Runs on each event loop after the setup of the connections that it has accepted. */
+    private void closeIdleConnections() {
+        List<CompletableFuture<Void>> tasks = new ArrayList<>();
+        for (EventExecutor loop : group) {
+            tasks.add(CompletableFuture.runAsync(() -> closeIdleConnections(loop), loop));
+        }
+        CompletableFuture.allOf(tasks.toArray(CompletableFuture[]::new))
+                .thenRun(() -> idleClosed = true);
+    }
+
+    private void closeIdleConnections(EventExecutor loop) {
         for (Channel connection : connections) {
-            connection
-                    .eventLoop()
-                    .execute(
-                            () -> {
-                                if (connection
-                                        .pipeline()
-                                        .get(HttpServerConnection.class)
-                                        .isIdle()) {
-                                    connection.close();
-                                }
-                            });
+            if (connection.eventLoop() == loop
+                    && connection.pipeline().get(HttpServerConnection.class).isIdle()) {
+                connection.close();
+            }
         }
     }
 
-    /** Whether any connection is open. */
-    public boolean hasConnections() {
-        return !connections.isEmpty();
+    /**
+     * Whether {@link #closeIdle} has taken effect and all connections have ended, so that no
+     * request can be in progress.
+     */
+    public boolean isDrained() {
+        return idleClosed && connections.isEmpty();
     }
 
     /** Stops listening and closes all connections. */
@@ -88,10 +104,12 @@
 
     private void initialize(SocketChannel channel) {
         connections.add(channel);
+        RequestAggregator aggregator = new RequestAggregator(maxBodyBytes);
         channel.pipeline()
                 .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS))
                 .addLast(new HttpServerCodec())
-                .addLast(new HttpObjectAggregator(maxBodyBytes))
-                .addLast(new HttpServerConnection(handler, () -> draining));
+                .addLast(aggregator)
+                .addLast(
+                        new HttpServerConnection(handler, aggregator::isReceiving, () -> draining));
     }
 }
