--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
@@ -1,7 +1,12 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.FeedTable;
+import org.quetzalscale.core.table.Row;
 import org.tinylog.Logger;
 
 /**
@@ -16,64 +21,50 @@
     private static final long RETRY_DELAY_MILLIS = 50;
 
     private final FeedTable table;
-    private final LoopClock clock;
     private final Condition fence;
     private final WorkerSession.Term term;
-    private final PauseDetector detector;
-    private long confirmedPauses;
-    private boolean confirming;
+    private final PauseGate gate;
 
     OrderGate(FeedTable table, LoopClock clock, Condition fence, WorkerSession.Term term) {
         this.table = table;
-        this.clock = clock;
         this.fence = fence;
         this.term = term;
-        this.detector = new PauseDetector(clock);
+        this.gate =
+                new PauseGate(
+                        clock, RETRY_DELAY_MILLIS, this::closed, this::confirmLease, this::opened);
     }
 
     void start() {
-        detector.start();
+        gate.start();
     }
 
     void stop() {
-        detector.stop();
+        gate.stop();
     }
 
     /** Whether an order may be sent now. If not, the confirmation of the lease is under way. */
     boolean isOpen() {
-        if (detector.pauses() == confirmedPauses) {
-            return true;
-        }
-        if (!confirming) {
-            confirming = true;
-            Logger.info("event=owner_paused fence={}", fence.version());
-            confirm();
-        }
-        return false;
+        return gate.isOpen();
+    }
+
+    private void closed() {
+        Logger.info("event=owner_paused fence={}", fence.version());
     }
 
-    private void confirm() {
-        if (term.ended()) {
-            return;
+    private CompletionStage<Void> confirmLease() {
+        return table.read(fence.key()).thenAccept(this::requireLease);
+    }
+
+    private void requireLease(Optional<Row> row) {
+        if (row.filter(r -> r.version() == fence.version()).isEmpty()) {
+            term.fenced("store");
+            throw new QuetzalscaleException(
+                    ErrorKind.LEASE_LOST, "another instance has taken the lease");
         }
-        long pausesBefore = detector.pauses();
-        table.read(fence.key())
-                .whenComplete(
-                        (row, failure) -> {
-                            if (term.ended()) {
-                                return;
-                            }
-                            if (failure != null) {
-                                clock.after(RETRY_DELAY_MILLIS, this::confirm);
-                            } else if (row.filter(r -> r.version() == fence.version())
-                                    .isPresent()) {
-                                confirming = false;
-                                confirmedPauses = pausesBefore;
-                                Logger.info("event=lease_confirmed fence={}", fence.version());
-                                term.planSoon();
-                            } else {
-                                term.fenced("store");
-                            }
-                        });
+    }
+
+    private void opened() {
+        Logger.info("event=lease_confirmed fence={}", fence.version());
+        term.planSoon();
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyWatcher.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyWatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.quetzalscale.core.instance.WaveRequest;
@@ -84,6 +85,17 @@
         return confirmedMillis;
     }
 
+    /** Reads the configuration outside the feed. The stage fails if the store does not answer. */
+    CompletionStage<Void> readPolicy() {
+        return table.read(rows.configKey())
+                .thenAccept(
+                        row -> {
+                            markConfirmed();
+                            row.ifPresent(
+                                    found -> applyRow(found.key(), Optional.of(found.value())));
+                        });
+    }
+
     /** The waves that operators requested, by number. */
     public SortedMap<Long, ReceivedWave> waves() {
         return waves;
