--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -53,7 +53,7 @@
             PoolId pool, FleetPolicy policy, long nowMillis, long epochMillis) {
         List<StepRanking.Candidate> found = new ArrayList<>();
         for (JobRun job : fleet.activeJobs(pool)) {
-            if (job.held) {
+            if (job.held || job.progressUnreadable) {
                 continue;
             }
             QueuePolicy queue = policy.queues().get(job.definition.queue());
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
@@ -150,6 +150,9 @@
         if (due > scheduler.epochMillis()) {
             return WaitReason.NOT_DUE;
         }
+        if (job.progressUnreadable) {
+            return WaitReason.PROGRESS_UNREADABLE;
+        }
         if (job.held) {
             return WaitReason.OWNER_CHANGED;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -95,6 +95,35 @@
         fleet.addJob(job);
     }
 
+    /**
+     * Adds another record of an earlier owner to the progress of a known job. The job ends if both
+     * records together contain all tasks.
+     */
+    public void restore(JobProgress recorded, long nowMillis) {
+        JobRun job = fleet.jobs.get(recorded.job());
+        if (job == null || job.phase.isFinal()) {
+            return;
+        }
+        job.restore(recorded, nowMillis);
+        if (job.allDone()) {
+            jobs.endJob(job, JobPhase.COMPLETED, nowMillis);
+        }
+    }
+
+    /**
+     * Suspends the starts of a job for as long as this owner lasts, because its recorded progress
+     * cannot be read. Its runs go on, and their ends count.
+     */
+    public void holdUnreadableJob(JobId id) {
+        fleet.jobs.get(id).progressUnreadable = true;
+    }
+
+    /** Whether {@link #holdUnreadableJob} suspended the job. */
+    public boolean isUnreadableJob(JobId id) {
+        JobRun job = fleet.jobs.get(id);
+        return job != null && job.progressUnreadable;
+    }
+
     /** Cancels a job and stops its tasks. Does nothing if the job has ended. */
     public void cancel(JobId id, long nowMillis) {
         JobRun job = fleet.jobs.get(id);
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
@@ -23,6 +23,12 @@
     /** Whether starts are suspended, because the runs of an earlier owner are not all known. */
     boolean held;
 
+    /**
+     * Whether starts are suspended because the recorded progress cannot be read, so that tasks that
+     * seem to wait may have run.
+     */
+    boolean progressUnreadable;
+
     JobRun(JobDefinition definition, long acceptedMillis) {
         this.definition = definition;
         this.acceptedMillis = acceptedMillis;
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -66,10 +66,10 @@
         this.step = step;
     }
 
-    /** Restores the failed runs that an earlier owner recorded. */
+    /** Adds the failed runs that an earlier owner recorded. */
     void restore(Set<Long> recorded) {
-        failures = recorded.size();
         failedRuns.addAll(recorded);
+        failures = failedRuns.size();
         for (long failed : recorded) {
             run = Math.max(run, failed);
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WaitReason.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WaitReason.java
@@ -12,6 +12,8 @@
      * Starts are suspended: an earlier owner may have started runs that this owner does not know.
      */
     OWNER_CHANGED,
+    /** The recorded progress of the job cannot be read, so its tasks may have run. */
+    PROGRESS_UNREADABLE,
     /** Steps that this step depends on are not done. */
     EARLIER_STEPS,
     /** The task is not retried yet after a failed run. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
@@ -28,8 +28,8 @@
      */
     private static final long DELETED_RETENTION_MILLIS = 60_000;
 
-    /** Each job has three rows, and a transaction takes at most 100 entries. */
-    private static final int MAX_JOBS_PER_TRANSACTION = 30;
+    /** Each job has at most four rows, and a transaction takes at most 100 entries. */
+    private static final int MAX_JOBS_PER_TRANSACTION = 24;
 
     private final TransactionalTable table;
     private final LoopClock clock;
@@ -94,6 +94,7 @@
             transaction.add(Mutation.delete(FleetRows.job(id)));
             transaction.add(Mutation.delete(FleetRows.cancellation(id)));
             transaction.add(Mutation.delete(FleetRows.progress(id)));
+            transaction.add(Mutation.delete(FleetRows.progressWhileUnreadable(id)));
         }
         table.commit(transaction.build())
                 .whenComplete(
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -41,6 +41,7 @@
     static final String WAVES_PREFIX = "waves/" + SHARD + "/";
 
     private static final String CANCEL_SUFFIX = "/cancel";
+    private static final String UNREADABLE_SUFFIX = "/unreadable";
 
     private FleetRows() {}
 
@@ -60,6 +61,24 @@
         return new RowKey(PROGRESS_PREFIX + id);
     }
 
+    /** What is recorded of a job while its row of progress cannot be read. */
+    static RowKey progressWhileUnreadable(JobId id) {
+        return new RowKey(PROGRESS_PREFIX + id + UNREADABLE_SUFFIX);
+    }
+
+    /**
+     * The job that a row of progress belongs to.
+     *
+     * @throws QuetzalscaleException INVALID_FIELD if the key names no job
+     */
+    static JobId jobOfProgress(RowKey key) {
+        String name = key.value().substring(PROGRESS_PREFIX.length());
+        return new JobId(
+                name.endsWith(UNREADABLE_SUFFIX)
+                        ? name.substring(0, name.length() - UNREADABLE_SUFFIX.length())
+                        : name);
+    }
+
     static boolean isCancellation(RowKey key) {
         return key.value().endsWith(CANCEL_SUFFIX);
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -135,7 +135,12 @@
     }
 
     private JobPhase phaseOf(Row row) {
-        return JobRowCodecs.PROGRESS.decode(row.value()).phase();
+        try {
+            return JobRowCodecs.PROGRESS.decode(row.value()).phase();
+        } catch (QuetzalscaleException e) {
+            throw new QuetzalscaleException(
+                    ErrorKind.INTERNAL, "the row " + row.key() + " cannot be read", e);
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -183,8 +183,8 @@
 
     private static JobProgress readProgress(JsonNode node) {
         List<StepProgress> steps = new ArrayList<>();
-        for (JsonNode entry : node.path("steps")) {
-            JsonNode words = entry.path("done");
+        for (JsonNode entry : requiredList(node, "steps")) {
+            JsonNode words = requiredList(entry, "done");
             long[] done = new long[words.size()];
             for (int i = 0; i < done.length; i++) {
                 done[i] = words.get(i).asLong();
@@ -223,6 +223,13 @@
                 steps);
     }
 
+    private static JsonNode requiredList(JsonNode node, String field) {
+        if (!node.path(field).isArray()) {
+            throw new IllegalArgumentException(field + ": expected a list");
+        }
+        return node.path(field);
+    }
+
     private static Optional<String> optional(JsonNode node, String field) {
         return node.has(field) ? Optional.of(node.path(field).asText()) : Optional.empty();
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -234,27 +233,22 @@
         if (ended || scheduling) {
             return;
         }
-        Map<JobId, JobProgress> progress = new HashMap<>();
-        for (Row row : progressRows) {
-            StoreFailures.decodeOrLog(row.key(), () -> JobRowCodecs.PROGRESS.decode(row.value()))
-                    .ifPresent(value -> progress.put(value.job(), value));
-        }
-        addJobs(jobs, 0, progress);
+        addJobs(jobs, 0, RecordedProgress.of(progressRows));
     }
 
     /**
      * Adds the jobs of a snapshot in several turns of the loop, between which the lease is renewed.
      */
-    private void addJobs(RowSnapshot jobs, int fromIndex, Map<JobId, JobProgress> progress) {
+    private void addJobs(RowSnapshot jobs, int fromIndex, RecordedProgress recorded) {
         int toIndex = Math.min(jobs.rows().size(), fromIndex + ROWS_PER_TURN);
         for (Row row : jobs.rows().subList(fromIndex, toIndex)) {
-            applyJobRow(row.key(), row.version(), row.value(), progress);
+            applyJobRow(row.key(), row.version(), row.value(), recorded);
         }
         if (ended) {
             return;
         }
         if (toIndex < jobs.rows().size()) {
-            clock.after(0, () -> addJobs(jobs, toIndex, progress));
+            clock.after(0, () -> addJobs(jobs, toIndex, recorded));
             return;
         }
         scheduling = true;
@@ -262,7 +256,7 @@
         Logger.info(
                 "event=jobs_loaded rows={} progress={} ms={}",
                 jobs.rows().size(),
-                progress.size(),
+                recorded.progress().size(),
                 clock.nowMillis() - startMillis);
         watchJobs(jobs.version());
         workers.start();
@@ -272,15 +266,13 @@
         endedJobs.deletePeriodically();
     }
 
-    private void applyJobRow(
-            RowKey key, long version, String value, Map<JobId, JobProgress> progress) {
+    private void applyJobRow(RowKey key, long version, String value, RecordedProgress recorded) {
         if (!ended) {
-            StoreFailures.applyOrLog(key, () -> applyValidRow(key, version, value, progress));
+            StoreFailures.applyOrLog(key, () -> applyValidRow(key, version, value, recorded));
         }
     }
 
-    private void applyValidRow(
-            RowKey key, long version, String value, Map<JobId, JobProgress> progress) {
+    private void applyValidRow(RowKey key, long version, String value, RecordedProgress recorded) {
         if (key.equals(FleetRows.OWNER)) {
             if (version > fence()) {
                 fenced("store");
@@ -291,8 +283,8 @@
         if (id.isEmpty() || endedJobs.contains(id.get())) {
             return;
         }
-        JobProgress known = progress.get(id.get());
-        if (known != null && known.phase().isFinal()) {
+        Optional<JobProgress> known = recorded.of(id.get());
+        if (known.filter(progress -> progress.phase().isFinal()).isPresent()) {
             endedJobs.add(id.get());
             return;
         }
@@ -308,11 +300,28 @@
         long now = clock.nowMillis();
         long age =
                 scheduling ? 0 : clock.epochMillis().getAsLong() - job.get().acceptedEpochMillis();
-        scheduler.addJob(
-                job.get(),
-                Optional.ofNullable(known),
-                now - Math.max(0, Math.min(MAX_JOB_AGE_MILLIS, age)),
-                now);
+        addJob(job.get(), recorded, now - Math.max(0, Math.min(MAX_JOB_AGE_MILLIS, age)), now);
+    }
+
+    /**
+     * Adds a job with what is recorded of it. A job with a record that cannot be read, or that does
+     * not fit its definition, is held: started from the beginning, it would repeat work.
+     */
+    private void addJob(
+            JobDefinition job, RecordedProgress recorded, long acceptedMillis, long nowMillis) {
+        boolean readable = !recorded.unreadable().contains(job.id());
+        try {
+            scheduler.addJob(job, recorded.of(job.id()), acceptedMillis, nowMillis);
+            recorded.whileUnreadable(job.id())
+                    .ifPresent(progress -> scheduler.restore(progress, nowMillis));
+        } catch (IndexOutOfBoundsException e) {
+            readable = false;
+            RecordedProgress.logUnreadable(job.id(), FleetRows.progress(job.id()), e);
+            scheduler.addJob(job, Optional.empty(), acceptedMillis, nowMillis);
+        }
+        if (!readable) {
+            scheduler.holdUnreadableJob(job.id());
+        }
     }
 
     private void watchJobs(long version) {
@@ -339,7 +348,11 @@
     }
 
     private void rowChanged(ChangedRow row) {
-        row.value().ifPresent(value -> applyJobRow(row.key(), row.version(), value, Map.of()));
+        row.value()
+                .ifPresent(
+                        value ->
+                                applyJobRow(
+                                        row.key(), row.version(), value, RecordedProgress.NONE));
     }
 
     private void rereadJobs() {
@@ -361,7 +374,7 @@
                                                             row.key(),
                                                             row.version(),
                                                             row.value(),
-                                                            Map.of()));
+                                                            RecordedProgress.NONE));
                             planSoon();
                             watchJobs(jobs.version());
                         });
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -11,6 +11,7 @@
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.table.TransactionalTable;
 import org.quetzalscale.core.task.JobProgress;
@@ -122,13 +123,20 @@
                         .require(new Condition(FleetRows.LAST_RECORD, lastRecordVersion))
                         .put(FleetRows.LAST_RECORD, batch.transactionName());
         for (JobProgress progress : batch.jobs()) {
-            transaction.put(
-                    FleetRows.progress(progress.job()), JobRowCodecs.PROGRESS.encode(progress));
+            transaction.put(rowOf(progress), JobRowCodecs.PROGRESS.encode(progress));
         }
         table.commit(transaction.build())
                 .whenComplete((result, failure) -> commitAnswered(batch, result, failure));
     }
 
+    /** A row that cannot be read is overwritten only by the end of its job. */
+    private RowKey rowOf(JobProgress progress) {
+        JobId id = progress.job();
+        return scheduler.isUnreadableJob(id) && !progress.phase().isFinal()
+                ? FleetRows.progressWhileUnreadable(id)
+                : FleetRows.progress(id);
+    }
+
     private void commitAnswered(Batch batch, CommitResult result, Throwable failure) {
         if (stopped) {
             return;
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.daemon.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
@@ -347,6 +350,96 @@
         node.stop();
     }
 
+    /** A job whose first step is done and recorded, and whose second step runs. */
+    private void runToTheSecondStep() {
+        Node node = new Node("node-1");
+        submit();
+        await("first step", () -> worker.startsOf(FIRST) == 1);
+        worker.end(FIRST, RunEnd.DONE);
+        await("second step", () -> worker.startsOf(SECOND) == 1);
+        await("recorded", () -> worker.acknowledged() == 1);
+        node.kill();
+    }
+
+    private String progressRow() {
+        return table.read(FleetRows.progress(JOB))
+                .toCompletableFuture()
+                .join()
+                .orElseThrow()
+                .value();
+    }
+
+    /** Awaits the start of a job that was recorded before the owner's term, and of a new one. */
+    private void awaitOtherJobs(String recorded, String added) {
+        await("a recorded job", () -> worker.startsOf(firstTask(recorded)) == 1);
+        submit(job(new JobId(added)));
+        await("a new job", () -> worker.startsOf(firstTask(added)) == 1);
+    }
+
+    private static TaskRef firstTask(String job) {
+        return new TaskRef(new JobId(job), 0, 0, 0);
+    }
+
+    /**
+     * Guards against the repetition of work that has run: a job whose record cannot be read looks
+     * like a new one.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"id\":\"00000000000000aa\"",
+                "{\"id\":\"00000000000000aa\",\"phase\":\"QUEUED\"}",
+                "{\"id\":\"00000000000000ff\",\"phase\":\"QUEUED\",\"steps\":[]}",
+                "{\"id\":\"00000000000000aa\",\"phase\":\"QUEUED\","
+                        + "\"steps\":[{\"done\":[],\"failures\":{\"9\":[1]}}]}"
+            })
+    void holdsAJobWhoseProgressCannotBeRead(String text) {
+        runToTheSecondStep();
+        table.put(FleetRows.progress(JOB).value(), text);
+        submit(job(new JobId("00000000000000b0")));
+        Node second = new Node("node-2");
+        awaitOtherJobs("00000000000000b0", "00000000000000b1");
+        table.dropHistory();
+        await("readers read all rows again", () -> table.refusedReaders > 0);
+        submit(job(new JobId("00000000000000b2")));
+        await("a later job", () -> worker.startsOf(firstTask("00000000000000b2")) == 1);
+
+        assertThat(worker.startsOf(FIRST)).isEqualTo(1);
+        assertThat(worker.startsOf(SECOND)).isEqualTo(1);
+        FleetStatus status =
+                new FleetStatus(new InstanceId("node-2"), clock, second.policies, second.owner);
+        assertThat(onLoop(() -> status.job(JOB).orElseThrow()).path("steps").get(0).path("reason"))
+                .hasToString("\"progress_unreadable\"");
+        second.stop();
+    }
+
+    /**
+     * Guards against a repaired record that is ignored or was overwritten, and against the loss of
+     * ends that workers reported before the repair.
+     */
+    @Test
+    void continuesAJobWhoseProgressWasRepaired() {
+        runToTheSecondStep();
+        String recorded = progressRow();
+        table.put(FleetRows.progress(JOB).value(), "");
+        Node second = new Node("node-2");
+        await("takeover", second.owner::isOwner);
+        worker.end(SECOND, RunEnd.DONE);
+        await("recorded", () -> worker.acknowledged() == 2);
+        assertThat(progressRow()).isEmpty();
+        assertThatThrownBy(this::phase).hasMessageContaining(FleetRows.progress(JOB).value());
+        table.put(FleetRows.progress(JOB).value(), recorded);
+        second.stop();
+
+        submit(job(new JobId("00000000000000b0")));
+        Node third = new Node("node-3");
+        awaitOtherJobs("00000000000000b0", "00000000000000b1");
+        assertThat(worker.startsOf(FIRST)).isEqualTo(1);
+        assertThat(worker.startsOf(SECOND)).isEqualTo(1);
+        await("completion", () -> phase().equals(Optional.of(JobPhase.COMPLETED)));
+        third.stop();
+    }
+
     /** Guards against a status for operators that is missing or differs from the owner's state. */
     @Test
     void showsOperatorsTheFleetAndAJob() {
