--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -44,6 +44,7 @@
     private final RunTimeEstimator estimator = new RunTimeEstimator();
     private final JobLifecycle jobs;
     private final WorkerReportHandler reportHandler;
+    private final CrashAttribution crashAttribution;
     private final StallDetector stallDetector;
     private final UnansweredStarts unansweredStarts;
     private final Dispatcher dispatcher;
@@ -63,6 +64,7 @@
         this.policy = policy;
         this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
         this.reportHandler = new WorkerReportHandler(fleet, orders, jobs);
+        this.crashAttribution = new CrashAttribution(jobs);
         this.stallDetector = new StallDetector(jobs);
         this.unansweredStarts = new UnansweredStarts(orders);
         this.dispatcher =
@@ -71,6 +73,11 @@
         this.paceControl = new PaceControl(orders);
     }
 
+    /** Reports crashes of workers to the listener from now on. */
+    public void setCrashListener(CrashListener listener) {
+        crashAttribution.setListener(listener);
+    }
+
     /** Replaces the configuration with a newer version. */
     public void updatePolicy(FleetPolicy newPolicy) {
         policy = newPolicy;
@@ -161,10 +168,16 @@
         }
     }
 
-    /**
-     * Releases the tasks of a worker that cannot run them any more, because it has ended or its
-     * lease has expired.
-     */
+    /** Releases the tasks of a worker that has ended without notice. */
+    public void workerEnded(WorkerId id, long nowMillis) {
+        WorkerState worker = fleet.workers.get(id);
+        if (worker != null) {
+            crashAttribution.recordCrash(worker, nowMillis);
+            releaseTasks(id, nowMillis);
+        }
+    }
+
+    /** Releases the tasks of a worker whose lease has expired: it may have ended, or be cut off. */
     public void releaseTasks(WorkerId id, long nowMillis) {
         WorkerState worker = fleet.workers.get(id);
         if (worker == null) {
@@ -235,6 +248,7 @@
             if (worker.isUnresponsiveFor(MIN_UNRESPONSIVE_MILLIS, nowMillis)
                     && !running.contains(id)) {
                 endedWorkers.add(id);
+                crashAttribution.recordCrash(worker, nowMillis);
                 removeWorker(id, nowMillis);
             }
         }
@@ -423,6 +437,7 @@
         }
         worker.reported = false;
         worker.consecutiveFailures = 0;
+        crashAttribution.recordCrash(worker, nowMillis);
         unansweredStarts.stopAll(worker.entry.id(), nowMillis);
         for (TrackedTask task : List.copyOf(worker.tasks.values())) {
             if (task.state != TrackedTask.State.RUNNING) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -86,6 +86,9 @@
                             : worker.used.minus(task.step.definition.reserved());
         }
         usage.remove(task.step.job.definition.organisation(), task.step.definition.need());
+        if (task.isServing()) {
+            task.crashedRuns.clear();
+        }
         task.worker = null;
         task.percent = 0;
         task.pacePercent = 100;
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -51,6 +51,13 @@
         changed.add(task.step.job);
     }
 
+    /** Counts a run whose worker crashed. */
+    void recordCrash(TrackedTask task) {
+        task.crashedRuns.add(task.run);
+        task.step.markStarted();
+        changed.add(task.step.job);
+    }
+
     /** Stops a run, so that the task can be placed again. */
     void stop(TrackedTask task, long nowMillis) {
         task.transitionTo(TrackedTask.State.STOPPING, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -6,13 +6,17 @@
 /**
  * Chooses the worker for a task. The worker must have the capacity and the required label; workers
  * on the rack of the task's data and with more free processors score higher, and the worker where
- * the task failed last, suspect workers and cold ones score lower.
+ * the task failed last, suspect workers and cold ones score lower. A task under which a worker has
+ * crashed is kept apart from other tasks if possible: it must not take their work down with it, and
+ * the next crash has to tell whether it is the cause.
  */
 final class Placement {
     private static final double DATA_RACK_BONUS = 2;
     private static final double FAILED_HERE_PENALTY = 4;
     private static final double SUSPECT_PENALTY = 8;
     private static final double COLD_PENALTY = 1;
+    private static final double CRASH_SUSPECT_HERE_PENALTY = 6;
+    private static final double CRASH_SUSPECT_COMPANY_PENALTY = 3;
 
     private Placement() {}
 
@@ -41,6 +45,9 @@
         if (worker.isSuspect() && !worker.tasks.isEmpty()) {
             return false;
         }
+        if (task.isStrongCrashSuspect() && worker.runsStrongCrashSuspectBeside(task.step.job)) {
+            return false;
+        }
         if (step.requiredLabel().isPresent()
                 && !worker.entry.labels().contains(step.requiredLabel().get())) {
             return false;
@@ -65,6 +72,11 @@
         if (worker.entry.coldRemainingMillis() > 0) {
             score -= COLD_PENALTY;
         }
+        if (task.isCrashSuspect()) {
+            score -= CRASH_SUSPECT_COMPANY_PENALTY * worker.tasksNotServing();
+        } else if (worker.runsCrashSuspect()) {
+            score -= CRASH_SUSPECT_HERE_PENALTY;
+        }
         return score;
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -63,9 +63,10 @@
         progress.done().stream()
                 .filter(index -> index < tasks.size())
                 .forEach(index -> markDone(tasks.get(index), nowMillis));
-        progress.failures().forEach((index, runs) -> tasks.get(index).restore(runs));
+        progress.failures().forEach((index, runs) -> tasks.get(index).restoreFailures(runs));
+        progress.crashes().forEach((index, runs) -> tasks.get(index).restoreCrashes(runs));
         progress.checkpoints().forEach((index, text) -> tasks.get(index).checkpoint = text);
-        if (!progress.failures().isEmpty()) {
+        if (!progress.failures().isEmpty() || !progress.crashes().isEmpty()) {
             markStarted();
         }
     }
@@ -73,6 +74,7 @@
     StepProgress progress() {
         BitSet finished = new BitSet(tasks.size());
         Map<Integer, Set<Long>> failures = new HashMap<>();
+        Map<Integer, Set<Long>> crashes = new HashMap<>();
         Map<Integer, String> checkpoints = new HashMap<>();
         for (TrackedTask task : tasks) {
             int index = task.ref.index();
@@ -83,10 +85,13 @@
             if (!task.failedRuns.isEmpty()) {
                 failures.put(index, task.failedRuns);
             }
+            if (!task.crashedRuns.isEmpty()) {
+                crashes.put(index, task.crashedRuns);
+            }
             if (!task.checkpoint.isEmpty()) {
                 checkpoints.put(index, task.checkpoint);
             }
         }
-        return new StepProgress(occurrence, number, finished, failures, checkpoints);
+        return new StepProgress(occurrence, number, finished, failures, crashes, checkpoints);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -23,6 +23,7 @@
     }
 
     private static final int SERVING_PERCENT = 100;
+    private static final int STRONG_SUSPECT_CRASHES = 2;
 
     final TaskRef ref;
     final StepRun step;
@@ -39,6 +40,9 @@
      */
     final Set<Long> failedRuns = new TreeSet<>();
 
+    /** Numbers of the runs whose workers crashed. */
+    final Set<Long> crashedRuns = new TreeSet<>();
+
     int percent;
     int pacePercent = 100;
     long load;
@@ -67,12 +71,25 @@
     }
 
     /** Adds the failed runs that an earlier owner recorded. */
-    void restore(Set<Long> recorded) {
+    void restoreFailures(Set<Long> recorded) {
         failedRuns.addAll(recorded);
         failures = failedRuns.size();
-        for (long failed : recorded) {
-            run = Math.max(run, failed);
-        }
+        recorded.forEach(this::skipRunsUpTo);
+    }
+
+    /** Adds the runs whose workers crashed, as an earlier owner recorded them. */
+    void restoreCrashes(Set<Long> recorded) {
+        crashedRuns.addAll(recorded);
+        recorded.forEach(this::skipRunsUpTo);
+    }
+
+    private void skipRunsUpTo(long earlier) {
+        run = Math.max(run, earlier);
+    }
+
+    /** Whether a worker crashed under the task and the present run has not shown it harmless. */
+    boolean isCrashSuspect() {
+        return !crashedRuns.isEmpty() && !isServing();
     }
 
     /** Whether the task uses resources of a worker. */
@@ -88,6 +105,14 @@
         return state == State.RUNNING && percent >= SERVING_PERCENT && !evicting;
     }
 
+    /**
+     * Whether several workers crashed under the task. No other task of this kind shares a worker
+     * with it, so that a further crash does not raise the suspicion against both.
+     */
+    boolean isStrongCrashSuspect() {
+        return isCrashSuspect() && crashedRuns.size() >= STRONG_SUSPECT_CRASHES;
+    }
+
     void transitionTo(State next, long nowMillis) {
         state = next;
         stateSinceMillis = nowMillis;
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -96,6 +96,22 @@
         return tasks.values().stream().anyMatch(task -> task.step.definition.lasting());
     }
 
+    /** Whether a task runs here under which another worker has crashed. */
+    boolean runsCrashSuspect() {
+        return tasks.values().stream().anyMatch(TrackedTask::isCrashSuspect);
+    }
+
+    /** Whether a task of another job runs here under which several workers have crashed. */
+    boolean runsStrongCrashSuspectBeside(JobRun job) {
+        return tasks.values().stream()
+                .anyMatch(task -> task.step.job != job && task.isStrongCrashSuspect());
+    }
+
+    /** The number of tasks here that a crash of the worker would make suspects. */
+    long tasksNotServing() {
+        return tasks.values().stream().filter(task -> !task.isServing()).count();
+    }
+
     int tasksOf(StepRun step) {
         int count = 0;
         for (TrackedTask task : tasks.values()) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -165,13 +165,8 @@
             for (long word : step.done().toLongArray()) {
                 done.add(word);
             }
-            if (!step.failures().isEmpty()) {
-                ObjectNode failures = entry.putObject("failures");
-                step.failures()
-                        .forEach(
-                                (index, runs) ->
-                                        runs.forEach(failures.putArray(index.toString())::add));
-            }
+            putRuns(entry, "failures", step.failures());
+            putRuns(entry, "crashes", step.crashes());
             if (!step.checkpoints().isEmpty()) {
                 ObjectNode checkpoints = entry.putObject("checkpoints");
                 step.checkpoints()
@@ -189,19 +184,6 @@
             for (int i = 0; i < done.length; i++) {
                 done[i] = words.get(i).asLong();
             }
-            Map<Integer, Set<Long>> failures = new HashMap<>();
-            entry.path("failures")
-                    .fields()
-                    .forEachRemaining(
-                            e ->
-                                    e.getValue()
-                                            .forEach(
-                                                    run ->
-                                                            failures.computeIfAbsent(
-                                                                            Integer.valueOf(
-                                                                                    e.getKey()),
-                                                                            key -> new HashSet<>())
-                                                                    .add(run.asLong())));
             Map<Integer, String> checkpoints = new HashMap<>();
             entry.path("checkpoints")
                     .fields()
@@ -214,7 +196,8 @@
                             entry.path("occurrence").asInt(),
                             entry.path("step").asInt(),
                             BitSet.valueOf(done),
-                            failures,
+                            readRuns(entry.path("failures")),
+                            readRuns(entry.path("crashes")),
                             checkpoints));
         }
         return new JobProgress(
@@ -230,6 +213,26 @@
         return node.path(field);
     }
 
+    private static void putRuns(ObjectNode node, String field, Map<Integer, Set<Long>> runs) {
+        if (!runs.isEmpty()) {
+            ObjectNode byIndex = node.putObject(field);
+            runs.forEach(
+                    (index, numbers) -> numbers.forEach(byIndex.putArray(index.toString())::add));
+        }
+    }
+
+    private static Map<Integer, Set<Long>> readRuns(JsonNode byIndex) {
+        Map<Integer, Set<Long>> runs = new HashMap<>();
+        byIndex.fields()
+                .forEachRemaining(
+                        entry -> {
+                            Set<Long> numbers = new HashSet<>();
+                            entry.getValue().forEach(number -> numbers.add(number.asLong()));
+                            runs.put(Integer.valueOf(entry.getKey()), numbers);
+                        });
+        return runs;
+    }
+
     private static Optional<String> optional(JsonNode node, String field) {
         return node.has(field) ? Optional.of(node.path(field).asText()) : Optional.empty();
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -94,6 +94,7 @@
                         policies.current().orElseThrow(),
                         this,
                         lease.generation() * RUNS_PER_GENERATION);
+        scheduler.setCrashListener(new CrashLogger());
         this.overview = new FleetOverview(scheduler);
         this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
         this.endedJobs =
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -407,7 +407,11 @@
         if (runsOver && !tasksReleased) {
             tasksReleased = true;
             Logger.info("event=worker_emptied worker={} listed={}", entry.id(), registered);
-            term.scheduler().releaseTasks(entry.id(), now);
+            if (error.kind() == ErrorKind.INVALID_STATE) {
+                term.scheduler().workerEnded(entry.id(), now);
+            } else {
+                term.scheduler().releaseTasks(entry.id(), now);
+            }
             term.planSoon();
         }
         clock.after(RETRY_DELAY_MILLIS, this::renew);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerServiceTest.java
@@ -406,6 +406,7 @@
                                                 0,
                                                 new BitSet(),
                                                 Map.of(9, Set.of(1L)),
+                                                Map.of(),
                                                 Map.of())))));
         Node node = new Node("node-1");
         submit();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.OrderAnswer;
 import org.quetzalscale.core.task.RunEnd;
@@ -19,6 +20,7 @@
  */
 final class SimulatedWorker {
     private static final long MAX_LEASE_MILLIS = 6_000;
+    private static final int CRASH_AFTER_MILLIS = 10;
     private static final int MAX_STOP_MILLIS = 900;
 
     /** Time for the first answer to an owner and the order that follows from it. */
@@ -41,6 +43,13 @@
     long incarnationStartMillis;
 
     boolean up = true;
+
+    /** Tasks that crash the worker shortly after their start. */
+    Predicate<TaskRef> crashes = task -> false;
+
+    /** Called when a task crashes the worker. */
+    Runnable onCrashByTask = () -> {};
+
     private int incarnation;
     private long fence;
     private long lastFinishedNumber;
@@ -94,6 +103,12 @@
         lastFinishedNumber = 0;
     }
 
+    private void crashUnder(TaskRef task) {
+        history.crashedWorker(task);
+        crash(false);
+        onCrashByTask.run();
+    }
+
     void restart() {
         up = true;
         incarnationStartMillis = loop.nowMillis();
@@ -123,6 +138,10 @@
             history.addViolation(loop.nowMillis() + ": " + id + " has " + used + " cores in use");
         }
         startedMillis.put(order.task(), loop.nowMillis());
+        if (crashes.test(order.task())) {
+            afterUnlessCrashed(CRASH_AFTER_MILLIS, () -> crashUnder(order.task()));
+            return OrderAnswer.ACCEPTED;
+        }
         if (history.isLasting(order.task())) {
             return OrderAnswer.ACCEPTED;
         }
