--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -55,6 +55,24 @@
             assertThat(orders.starts).hasSize(2);
         }
 
+        /** Guards against tasks that exceed a capacity that shrank while they ran (LIMIT). */
+        @Test
+        void stayWithinACapacityThatShrank() {
+            addWorker(1);
+            add(Samples.job(1, Samples.step(2, 4)));
+            plan();
+            assertThat(orders.starts).hasSize(2);
+
+            scheduler.registerWorker(Samples.withCores(1, 10), now);
+            add(Samples.job(2, Samples.step(1, 4)));
+            plan();
+            assertThat(orders.starts).hasSize(2);
+
+            scheduler.registerWorker(Samples.worker(1), now);
+            plan();
+            assertThat(orders.starts).hasSize(3);
+        }
+
         /** Guards against a step that starts before the step it depends on is done. */
         @Test
         void waitForEarlierSteps() {
