--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -180,9 +180,10 @@
                             }
                             backoff.recordFailure(clock.nowMillis());
                             QuetzalscaleException error = QuetzalscaleException.from(failure);
+                            // Errors of any other kind do not tell what the store has done.
                             boolean maybeCommitted =
                                     maybeCommittedBefore
-                                            || error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN;
+                                            || error.kind() != ErrorKind.STORE_UNAVAILABLE;
                             if (calls >= MAX_ATTEMPTS
                                     || clock.nowMillis() + RETRY_DELAY_MILLIS >= untilMillis) {
                                 Logger.warn(
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
@@ -148,6 +148,28 @@
             assertThat(errorOf(submission)).isEqualTo(ErrorKind.STORE_OUTCOME_UNKNOWN);
         }
 
+        @Test
+        void treatsAnUnintelligibleAnswerAsAnUnknownOutcome() {
+            table.errors.add(ErrorKind.MALFORMED_FRAME);
+            table.errors.add(ErrorKind.STORE_UNAVAILABLE);
+            table.errors.add(ErrorKind.STORE_UNAVAILABLE);
+            CompletableFuture<Void> submission = submit();
+            loop.runUntil(deadlineMillis);
+            assertThat(errorOf(submission)).isEqualTo(ErrorKind.STORE_OUTCOME_UNKNOWN);
+        }
+
+        /** The kind of a dropped history has the status that tells callers of an unknown job. */
+        @Test
+        void doesNotPassOnAnErrorThatCallersWouldTakeForAnUnknownJob() {
+            for (int i = 0; i < 3; i++) {
+                table.errors.add(ErrorKind.REVISION_TOO_OLD);
+            }
+            CompletableFuture<Optional<JobPhase>> phase =
+                    gateway.phase(JOB, deadlineMillis).toCompletableFuture();
+            loop.runUntil(deadlineMillis);
+            assertThat(errorOf(phase)).isEqualTo(ErrorKind.STORE_OUTCOME_UNKNOWN);
+        }
+
         @Test
         void reportsARefusalIfNoAttemptCanHaveBeenCarriedOut() {
             for (int i = 0; i < 3; i++) {
