--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -85,6 +85,11 @@
         return wave.number();
     }
 
+    /** The worker that runs on the instance, if one is listed. */
+    public Optional<WorkerId> workerOn(InstanceId id) {
+        return Optional.ofNullable(instances.get(id)).flatMap(FleetInstance::worker);
+    }
+
     /** The number of instances of the wave. */
     public int size() {
         return items.size();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.WorkerId;
@@ -207,9 +208,21 @@
 
     private void orderMaintenance(MaintenancePlanner planner) {
         List<InstanceId> ids = planner.plan(clock.nowMillis());
+        ids.forEach(id -> logOrder(planner, id));
         orderLog.recordThenSend(ids, () -> ids.forEach(id -> maintain(planner, id)));
     }
 
+    /** Logs what the owner knows of the worker that the order ends. */
+    private void logOrder(MaintenancePlanner planner, InstanceId id) {
+        Optional<WorkerId> worker = planner.workerOn(id);
+        Logger.info(
+                "event=maintenance_ordered wave={} instance={} worker={} reported={}",
+                planner.number(),
+                id,
+                worker.map(WorkerId::value).orElse("none"),
+                worker.filter(term.scheduler()::hasReported).isPresent());
+    }
+
     private void maintain(MaintenancePlanner planner, InstanceId id) {
         context.instances()
                 .maintain(id, planner.number(), lease.fence().version())
