--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -49,7 +49,6 @@
     private final Dispatcher dispatcher;
     private final PaceControl paceControl;
     private FleetPolicy policy;
-    private boolean recoveredJobsHeld;
 
     /** Wall clock in Unix milliseconds at the last call of {@link #plan}. */
     private long epochMillis;
@@ -154,13 +153,13 @@
      */
     public void holdRecoveredJobs() {
         fleet.jobs.values().forEach(job -> job.held = true);
-        recoveredJobsHeld = true;
+        fleet.recoveredJobsHeld = true;
     }
 
     /** Resumes the jobs that {@link #holdRecoveredJobs} suspended. */
     public void releaseRecoveredJobs() {
-        if (recoveredJobsHeld) {
-            recoveredJobsHeld = false;
+        if (fleet.recoveredJobsHeld) {
+            fleet.recoveredJobsHeld = false;
             fleet.jobs.values().forEach(job -> job.held = false);
         }
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -24,6 +24,9 @@
 
     private final Map<PoolId, Map<WorkerId, WorkerState>> pools = new LinkedHashMap<>();
 
+    /** Whether an earlier owner may have started runs that are not known yet. */
+    boolean recoveredJobsHeld;
+
     void addJob(JobRun job) {
         jobs.put(job.definition.id(), job);
         if (!job.phase.isFinal()) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -264,7 +264,10 @@
             boolean urgent,
             long nowMillis) {
         FleetInstance instance = instances.get(item.instance);
-        if (instance == null || !instance.up() || nowMillis < item.retryAtMillis) {
+        if (instance == null
+                || !instance.up()
+                || !runsKnown(instance)
+                || nowMillis < item.retryAtMillis) {
             return false;
         }
         Optional<WorkerState> worker = worker(instance);
@@ -282,6 +285,15 @@
         return urgent || busyCoreFraction(item) <= QUIET_CORE_FRACTION;
     }
 
+    /**
+     * Whether all runs on the instance are known. A worker that has not reported to this owner may
+     * run tasks that an earlier owner started, and so appears to be idle.
+     */
+    private boolean runsKnown(FleetInstance instance) {
+        return !scheduler.fleet().recoveredJobsHeld
+                || instance.worker().stream().allMatch(scheduler::hasReported);
+    }
+
     private void startDrain(MaintenanceItem item, long nowMillis) {
         item.worker = worker(instances.get(item.instance)).map(w -> w.entry.id()).orElse(null);
         setCordoned(item, true);
--- a/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -52,6 +52,19 @@
                 scheduler, new WaveRequest(1, ids, 60_000, maxDown), now, Set.of(), DOWN_MILLIS);
     }
 
+    /** Returns the planner of a wave over one instance, whose worker is not added. */
+    private MaintenancePlanner planner(FleetInstance instance) {
+        MaintenancePlanner planner =
+                new MaintenancePlanner(
+                        scheduler,
+                        new WaveRequest(1, List.of(instance.id()), 60_000, 1),
+                        now,
+                        Set.of(),
+                        DOWN_MILLIS);
+        planner.updateInstances(List.of(instance), now, now);
+        return planner;
+    }
+
     private List<FleetInstance> allUp() {
         List<FleetInstance> list = new ArrayList<>();
         for (int number = 1; number <= WORKERS; number++) {
@@ -113,6 +126,32 @@
             assertThat(planner.plan(now)).isEmpty();
         }
 
+        /**
+         * Guards against an order to a worker that appears to be idle because it has not reported
+         * to a new owner, and that runs lasting tasks of the former one.
+         */
+        @Test
+        void leaveAloneWorkersThatHaveNotReported() {
+            scheduler.holdRecoveredJobs();
+            scheduler.registerWorker(Samples.worker(1), now);
+            MaintenancePlanner planner = planner(up(1, 1));
+            assertThat(planner.plan(now)).isEmpty();
+
+            report(1, List.of(), List.of());
+            assertThat(planner.plan(now)).containsExactly(instance(1));
+        }
+
+        /** Guards against the same order while the worker's entry has not been read. */
+        @Test
+        void leaveAloneWorkersThatAreNotKnownUntilFormerRunsHaveEnded() {
+            scheduler.holdRecoveredJobs();
+            MaintenancePlanner planner = planner(up(1, 1));
+            assertThat(planner.plan(now)).isEmpty();
+
+            scheduler.releaseRecoveredJobs();
+            assertThat(planner.plan(now)).containsExactly(instance(1));
+        }
+
         /**
          * Guards against one order that ends two tasks of a step on the same worker, which exceeds
          * the budget.
