--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -116,8 +116,9 @@
     }
 
     /**
-     * Loads jobs, then their progress, then workers. Progress is read after the jobs, so it is not
-     * older than they are.
+     * Loads jobs, then their progress, and meanwhile renews the leases of the workers: the renewals
+     * of the former owner have ended, and on a weak instance the jobs may take longer to load than
+     * a lease lasts. Progress is read after the jobs, so it is not older than they are.
      */
     void start() {
         if (ended) {
@@ -125,6 +126,7 @@
         }
         Logger.info("event=term_begins fence={}", fence());
         gate.start();
+        workers.start();
         load();
     }
 
@@ -168,6 +170,11 @@
         return ended;
     }
 
+    @Override
+    public boolean jobsLoaded() {
+        return scheduling;
+    }
+
     @Override
     public void fenced(String by) {
         if (!ended) {
@@ -265,7 +272,7 @@
                 progress.size(),
                 clock.nowMillis() - startMillis);
         watchJobs(jobs.version());
-        workers.start();
+        sessions.values().forEach(WorkerSession::jobsLoaded);
         planPeriodically();
         publishPeriodically();
         instanceController.start();
@@ -396,7 +403,8 @@
      */
     private boolean formerRunsKnown(long nowMillis) {
         long age = nowMillis - startMillis;
-        if (age >= WorkerSession.formerLeaseBoundMillis()) {
+        if (age >= WorkerLease.formerBoundMillis()
+                && sessions.values().stream().allMatch(s -> s.formerRunsKnown(nowMillis))) {
             return true;
         }
         boolean listKnown =
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -154,7 +154,7 @@
                         context,
                         entry.get(),
                         fences.computeIfAbsent(id, created -> new WorkerFence(leaseVersion)),
-                        startedMillis + WorkerSession.formerLeaseBoundMillis());
+                        new WorkerLease(startedMillis + WorkerLease.formerBoundMillis()));
         sessions.put(id, opened);
         opened.start();
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -38,18 +38,19 @@
 
         /** Whether the term has ended. */
         boolean ended();
-    }
 
-    /** How long runs continue without a renewal, on the worker's clock. */
-    private static final long LEASE_MILLIS = 5_000;
+        /** Whether the jobs are loaded, so that reports can be applied to the scheduler. */
+        boolean jobsLoaded();
+    }
 
-    /** Longest duration of a lease on the owner's clock: the clocks of workers may be 2% slow. */
-    private static final long LEASE_BOUND_MILLIS = LEASE_MILLIS * 102 / 100 + 100;
+    private static final int LONG_POLL_MILLIS = 1_000;
 
-    /** Time in which a former owner learns that its lease was taken. */
-    private static final long FENCE_NOTICE_MILLIS = 1_500;
+    /**
+     * Time between renewals while the jobs are loaded. A lease covers three of them, and the
+     * answers share the owner's link with the rows of the jobs.
+     */
+    private static final long LOADING_RENEWAL_MILLIS = 1_500;
 
-    private static final int LONG_POLL_MILLIS = 1_000;
     private static final long RETRY_DELAY_MILLIS = 100;
 
     /**
@@ -65,6 +66,7 @@
     private final FleetMetrics metrics;
     private final LoopClock clock;
     private final WorkerFence fence;
+    private final WorkerLease lease;
     private final Queue<StartOrder> queuedStarts = new ArrayDeque<>();
     private WorkerEntry entry;
     private boolean registered = true;
@@ -76,9 +78,7 @@
     private int incarnation;
     private long lastSeenNumber;
     private long lastRecordedNumber;
-    private long clockOffsetMillis;
-    private boolean clockKnown;
-    private long leaseUntilMillis;
+    private boolean reportApplied;
     private boolean awaitingRecord;
     private long awaitRecordUntilMillis;
     private boolean tasksReleased;
@@ -88,36 +88,39 @@
      * Creates a session.
      *
      * @param fence token of this owner for the worker, shared by all sessions with it
-     * @param formerLeaseUntilMillis until when runs of an earlier owner may continue without a
-     *     renewal by this one
+     * @param lease lease of the runs that an earlier owner started
      */
     WorkerSession(
             Term term,
             FleetContext context,
             WorkerEntry entry,
             WorkerFence fence,
-            long formerLeaseUntilMillis) {
+            WorkerLease lease) {
         this.term = term;
         this.calls = context.calls();
         this.metrics = context.metrics();
         this.clock = context.clock();
         this.entry = entry;
         this.fence = fence;
-        this.leaseUntilMillis = formerLeaseUntilMillis;
-    }
-
-    /**
-     * How long runs of an earlier owner may continue after its lease was taken: that owner renews
-     * its workers until it learns of the takeover from a worker or from the store.
-     */
-    static long formerLeaseBoundMillis() {
-        return LEASE_BOUND_MILLIS + FENCE_NOTICE_MILLIS;
+        this.lease = lease;
     }
 
     void start() {
         renew();
     }
 
+    /** Reads the worker's lists: reports were not applied before the jobs were loaded. */
+    void jobsLoaded() {
+        if (!unresponsive) {
+            renew();
+        }
+    }
+
+    /** Whether every run that an earlier owner started on the worker is known or has ended. */
+    boolean formerRunsKnown(long nowMillis) {
+        return reportApplied || closed || lease.isOver(nowMillis);
+    }
+
     void updateEntry(WorkerEntry newer) {
         entry = newer;
         registered = true;
@@ -206,9 +209,9 @@
         while (startsInFlight < MAX_STARTS_IN_FLIGHT && !queuedStarts.isEmpty()) {
             StartOrder order = queuedStarts.poll();
             startsInFlight++;
-            extendLease();
+            long leaseClockMillis = lease.extend(clock.nowMillis());
             long token = fence.current();
-            calls.start(entry, order, leaseClockMillis(), token)
+            calls.start(entry, order, leaseClockMillis, token)
                     .thenAccept(
                             answer -> {
                                 startsInFlight--;
@@ -252,28 +255,24 @@
         return term.ended() || closed;
     }
 
-    private long leaseClockMillis() {
-        return clock.nowMillis() + clockOffsetMillis + LEASE_MILLIS;
-    }
-
-    private void extendLease() {
-        leaseUntilMillis = Math.max(leaseUntilMillis, clock.nowMillis() + LEASE_BOUND_MILLIS);
-    }
-
     private void renew() {
         if (renewing || closed || term.ended()) {
             return;
         }
         renewing = true;
         long sentMillis = clock.nowMillis();
-        long leaseUntilClockMillis = clockKnown ? leaseClockMillis() : 0;
-        if (clockKnown) {
-            extendLease();
-        }
+        // Runs of earlier owners on a worker that is silent before its first applied report are
+        // not prolonged, because all recovered jobs wait for their end.
+        boolean extending = lease.isClockKnown() && (reportApplied || !unresponsive);
+        long leaseUntilClockMillis = extending ? lease.extend(sentMillis) : 0;
         // Does not wait for new finished runs while some are unacknowledged, because the worker
         // would list those again at once, nor after a silence, because the worker may have
         // restarted, which has to be known soon.
-        boolean longPoll = clockKnown && !unresponsive && lastRecordedNumber == lastSeenNumber;
+        boolean longPoll =
+                term.jobsLoaded()
+                        && lease.isClockKnown()
+                        && !unresponsive
+                        && lastRecordedNumber == lastSeenNumber;
         int waitMillis = longPoll ? LONG_POLL_MILLIS : 0;
         long token = fence.current();
         calls.renew(entry, leaseUntilClockMillis, lastRecordedNumber, waitMillis, token)
@@ -316,20 +315,24 @@
             incarnation++;
         }
         startedEpochMillis = report.startedEpochMillis();
-        clockOffsetMillis = report.clockMillis() - now;
-        boolean first = !clockKnown;
-        clockKnown = true;
+        boolean first = !lease.isClockKnown();
+        lease.setClock(report.clockMillis(), now);
         tasksReleased = false;
         if (unresponsive) {
             unresponsive = false;
             Logger.info("event=worker_back worker={}", entry.id());
         }
+        if (!term.jobsLoaded()) {
+            scheduleRenewal(first ? 0 : LOADING_RENEWAL_MILLIS);
+            return;
+        }
         List<FinishedRun> newlyFinished =
                 report.finished().stream().filter(end -> end.number() > lastSeenNumber).toList();
         for (FinishedRun end : newlyFinished) {
             lastSeenNumber = Math.max(lastSeenNumber, end.number());
             logFinishedRun(end);
         }
+        reportApplied = true;
         term.scheduler().handleReport(entry.id(), report, newlyFinished, sentMillis, now);
         term.planSoon();
         if (first || newlyFinished.isEmpty()) {
@@ -390,7 +393,7 @@
                     "event=worker_silent worker={} cause=\"{}\"", entry.id(), error.getMessage());
             term.scheduler().setUnresponsive(entry.id(), true, now);
         }
-        boolean runsOver = now >= leaseUntilMillis || error.kind() == ErrorKind.INVALID_STATE;
+        boolean runsOver = lease.isOver(now) || error.kind() == ErrorKind.INVALID_STATE;
         if (runsOver && !registered) {
             closed = true;
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -51,6 +51,7 @@
     private static final int LASTING_TASKS = 3;
     private static final int MAX_UNAVAILABLE = 1;
     private static final long WAVE_MILLIS = 25_000;
+    private static final int SLOW_LOAD_MILLIS = 4_900;
     private static final double FAILURE_PROBABILITY = 0.1;
     private static final long FAULT_PERIOD_MILLIS = 16_000;
     private static final long END_MILLIS = 45_000;
@@ -107,7 +108,14 @@
          * Again and again the owner's transactions get no answers while its reads do, with many
          * more jobs. Another instance takes over, and for a moment both learn of submitted jobs.
          */
-        LOST_RENEWALS
+        LOST_RENEWALS,
+        /** Those of {@link #DRAWN}, and a new owner reads the jobs for seconds. */
+        SLOW_LOADS,
+        /**
+         * The owner is killed once, and the next one reads the jobs for almost as long as a lease
+         * of a worker lasts. The lease of no run may expire.
+         */
+        SLOW_TAKEOVER
     }
 
     /** An instance, which runs one process at a time. */
@@ -170,21 +178,44 @@
         if (variant != Variant.PLAIN) {
             beginMaintenance();
         }
-        if (injected == Faults.LOST_RENEWALS) {
-            callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
-            loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
-        } else {
-            for (int i = 0; i < FAULT_COUNT; i++) {
-                loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
-            }
-        }
+        scheduleFaults();
         loop.runUntil(
                 injected == Faults.LOST_RENEWALS ? END_WITH_LOST_RENEWALS_MILLIS : END_MILLIS);
         List<String> found = history.violations();
+        if (injected == Faults.SLOW_TAKEOVER) {
+            found.addAll(history.expirations());
+        }
         found.addAll(unfinishedWork());
         return found;
     }
 
+    private void scheduleFaults() {
+        switch (injected) {
+            case LOST_RENEWALS -> {
+                callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
+                loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
+            }
+            case SLOW_TAKEOVER ->
+                    loop.after(FAULT_PERIOD_MILLIS / 2 + random.nextInt(1_000), this::killOwner);
+            default -> {
+                store.jobReadMillis = injected == Faults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
+                for (int i = 0; i < FAULT_COUNT; i++) {
+                    loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
+                }
+            }
+        }
+    }
+
+    private void killOwner() {
+        store.jobReadMillis = SLOW_LOAD_MILLIS;
+        for (Node node : nodes) {
+            if (node.owner.isOwner()) {
+                faults.add(loop.nowMillis() + ": " + node.name + " is killed");
+                node.kill(FAULT_PERIOD_MILLIS);
+            }
+        }
+    }
+
     private int jobCount() {
         return injected == Faults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -106,6 +106,25 @@
         run(Variant.PLAIN, Faults.LOST_RENEWALS, 22_690_191_752_142L);
     }
 
+    /**
+     * Guards against lasting tasks that all end together around a hand-over: the leases of the
+     * workers expired while the new owner read the jobs, before it called any worker.
+     */
+    @Property(tries = 40, seed = "2217349150", shrinking = ShrinkingMode.OFF)
+    void renewsLeasesWhileANewOwnerReadsTheJobs(@ForAll @LongRange(min = 1) long seed) {
+        run(Variant.MAINTENANCE, Faults.SLOW_TAKEOVER, seed);
+    }
+
+    /**
+     * Guards against a second run of a task on a worker that became silent after the new owner had
+     * renewed its lease and before it had read what runs there.
+     */
+    @Property(tries = 100, seed = "6120377841", shrinking = ShrinkingMode.OFF)
+    void keepsTheRulesWhileOwnersReadTheJobsSlowly(
+            @ForAll Variant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, Faults.SLOW_LOADS, seed);
+    }
+
     private static void run(Variant variant, long seed) {
         run(variant, Faults.DRAWN, seed);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
@@ -47,6 +47,11 @@
         public boolean ended() {
             return !fencedBy.isEmpty();
         }
+
+        @Override
+        public boolean jobsLoaded() {
+            return true;
+        }
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
@@ -58,6 +58,11 @@
         return fenced;
     }
 
+    @Override
+    public boolean jobsLoaded() {
+        return true;
+    }
+
     private void order(String name) {
         process.run(
                 () -> {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
@@ -20,6 +20,7 @@
     private final Map<TaskRef, List<Event>> events = new HashMap<>();
     private final Map<TaskRef, String> running = new TreeMap<>(RunHistory::compare);
     private final List<String> violations = new ArrayList<>();
+    private final List<String> expirations = new ArrayList<>();
     private final int maxAttempts;
     private final LastingTaskHistory lasting;
 
@@ -88,6 +89,9 @@
         if (isLasting(task)) {
             lasting.ended(task, how == RunEnd.STOPPED);
         }
+        if (how == RunEnd.EXPIRED) {
+            expirations.add(atMillis + ": the lease of " + task + " expires");
+        }
         Event event = new Event(atMillis, Optional.of(how));
         eventsOf(task).add(event);
         return event;
@@ -127,6 +131,11 @@
                 .anyMatch(entry -> count(entry.getValue(), RunEnd.FAILED) >= maxAttempts);
     }
 
+    /** The runs that ended because their lease was not renewed. */
+    List<String> expirations() {
+        return expirations;
+    }
+
     /** The violations of the rules, given all acknowledgements so far. */
     List<String> violations() {
         List<String> found = new ArrayList<>(violations);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
@@ -33,6 +33,9 @@
 
     boolean unavailable;
 
+    /** How much longer it takes to read all jobs, as on a weak instance with many jobs. */
+    int jobReadMillis;
+
     /** Part of the transactions whose answers are lost; half of these are carried out late. */
     double lostAnswerProbability;
 
@@ -98,7 +101,8 @@
 
         @Override
         public CompletionStage<RowSnapshot> snapshot(String prefix) {
-            return call(() -> new RowSnapshot(rows(prefix), table.version()));
+            int extraMillis = prefix.equals(FleetRows.JOBS_PREFIX) ? jobReadMillis : 0;
+            return call(extraMillis, () -> new RowSnapshot(rows(prefix), table.version()));
         }
 
         @Override
@@ -147,9 +151,15 @@
         }
 
         private <T> CompletionStage<T> call(Supplier<T> read) {
+            return call(0, read);
+        }
+
+        private <T> CompletionStage<T> call(int extraMillis, Supplier<T> read) {
             CompletableFuture<T> reply = new CompletableFuture<>();
             if (!fails(reply)) {
-                loop.after(latency(), () -> process.deliver(latency(), reply, read.get()));
+                loop.after(
+                        latency(),
+                        () -> process.deliver(latency() + extraMillis, reply, read.get()));
             }
             return reply;
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -51,10 +51,11 @@
                             null, clock, null, calls, null, null, null, null, new FleetMetrics()),
                     entry(1),
                     new WorkerFence(7),
-                    NEVER);
+                    new WorkerLease(NEVER));
 
     private String fencedBy;
     private boolean failing;
+    private boolean jobsLoaded = true;
 
     private static WorkerEntry entry(long startedEpochMillis) {
         return new WorkerEntry(
@@ -76,6 +77,7 @@
         final List<Long> renewalFences = new ArrayList<>();
         final List<CompletableFuture<OrderAnswer>> starts = new ArrayList<>();
         final List<Long> acknowledged = new ArrayList<>();
+        final List<Long> leases = new ArrayList<>();
 
         @Override
         public CompletionStage<OrderAnswer> start(
@@ -106,6 +108,7 @@
                 long fence) {
             CompletableFuture<WorkerReport> reply = new CompletableFuture<>();
             renewals.add(reply);
+            leases.add(leaseClockMillis);
             renewalFences.add(fence);
             acknowledged.add(number);
             return reply;
@@ -139,6 +142,11 @@
         return false;
     }
 
+    @Override
+    public boolean jobsLoaded() {
+        return jobsLoaded;
+    }
+
     @Override
     public void start(WorkerId worker, StartOrder order) {}
 
@@ -245,6 +253,44 @@
         assertThat(calls.acknowledged).containsExactly(0L, 0L);
     }
 
+    /**
+     * Guards against leases that expire while an owner loads the jobs, and against ends of runs
+     * that are lost because they were reported before the jobs were known.
+     */
+    @Test
+    void renewsTheLeaseAndAppliesNoReportBeforeTheJobsAreLoaded() {
+        jobsLoaded = false;
+        session.start();
+        calls.renewals.get(0).complete(report(end(1)));
+        assertThat(calls.leases.get(1)).isPositive();
+        assertThat(session.formerRunsKnown(0)).isFalse();
+
+        jobsLoaded = true;
+        calls.renewals.get(1).complete(report(end(1)));
+        session.recordedUpTo(session.seenCursor());
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L);
+        assertThat(session.formerRunsKnown(0)).isTrue();
+    }
+
+    /**
+     * Guards against recovered jobs that wait for as long as one worker is silent, because calls
+     * without answers prolong the lease of its unknown runs.
+     */
+    @Test
+    void prolongsNoUnknownRunsOfASilentWorker() throws Exception {
+        jobsLoaded = false;
+        session.start();
+        calls.renewals.get(0).complete(report());
+        calls.renewals
+                .get(1)
+                .completeExceptionally(
+                        new QuetzalscaleException(ErrorKind.TARGET_UNREACHABLE, "refused"));
+        loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).get();
+
+        assertThat(calls.leases).hasSize(3);
+        assertThat(calls.leases.get(2)).isZero();
+    }
+
     /** Guards against calls to a worker whose instance is gone while its entry remains. */
     @Test
     void distinguishesTheEntryOfAnEndedWorkerFromALaterOne() {
