--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -85,6 +85,11 @@
         return wave.number();
     }
 
+    /** The worker that runs on the instance, if one is listed. */
+    public Optional<WorkerId> workerOn(InstanceId id) {
+        return Optional.ofNullable(instances.get(id)).flatMap(FleetInstance::worker);
+    }
+
     /** The number of instances of the wave. */
     public int size() {
         return items.size();
@@ -259,7 +264,10 @@
             boolean urgent,
             long nowMillis) {
         FleetInstance instance = instances.get(item.instance);
-        if (instance == null || !instance.up() || nowMillis < item.retryAtMillis) {
+        if (instance == null
+                || !instance.up()
+                || !runsKnown(instance)
+                || nowMillis < item.retryAtMillis) {
             return false;
         }
         Optional<WorkerState> worker = worker(instance);
@@ -277,6 +285,15 @@
         return urgent || busyCoreFraction(item) <= QUIET_CORE_FRACTION;
     }
 
+    /**
+     * Whether all runs on the instance are known. A worker that has not reported to this owner may
+     * run tasks that an earlier owner started, and so appears to be idle.
+     */
+    private boolean runsKnown(FleetInstance instance) {
+        return !scheduler.fleet().recoveredJobsHeld
+                || instance.worker().stream().allMatch(scheduler::hasReported);
+    }
+
     private void startDrain(MaintenanceItem item, long nowMillis) {
         item.worker = worker(instances.get(item.instance)).map(w -> w.entry.id()).orElse(null);
         setCordoned(item, true);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -118,8 +118,9 @@
     }
 
     /**
-     * Loads jobs, then their progress, then workers. Progress is read after the jobs, so it is not
-     * older than they are.
+     * Loads jobs, then their progress, and meanwhile renews the leases of the workers: the renewals
+     * of the former owner have ended, and on a weak instance the jobs may take longer to load than
+     * a lease lasts. Progress is read after the jobs, so it is not older than they are.
      */
     void start() {
         if (ended) {
@@ -127,6 +128,7 @@
         }
         Logger.info("event=term_begins fence={}", fence());
         gate.start();
+        workers.start();
         load();
     }
 
@@ -170,6 +172,11 @@
         return ended;
     }
 
+    @Override
+    public boolean jobsLoaded() {
+        return scheduling;
+    }
+
     @Override
     public void fenced(String by) {
         if (!ended) {
@@ -262,7 +269,7 @@
                 recorded.progress().size(),
                 clock.nowMillis() - startMillis);
         watchJobs(jobs.version());
-        workers.start();
+        workers.jobsLoaded();
         planPeriodically();
         publishPeriodically();
         instanceController.start();
@@ -415,7 +422,8 @@
         if (!workers.allCalled()) {
             return false;
         }
-        if (age >= WorkerSession.formerLeaseBoundMillis()) {
+        if (age >= WorkerLease.formerBoundMillis()
+                && sessions.values().stream().allMatch(s -> s.formerRunsKnown(nowMillis))) {
             return true;
         }
         boolean listKnown =
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -31,7 +31,7 @@
     /** Kept beyond a session: orders of an earlier session may still reach the worker. */
     private final Map<WorkerId, WorkerFence> fences = new HashMap<>();
 
-    private final SessionOpener opener;
+    private final PacedCalls pacedCalls;
     private final long startedMillis;
 
     /**
@@ -50,7 +50,7 @@
         this.term = term;
         this.sessions = sessions;
         this.leaseVersion = leaseVersion;
-        this.opener = new SessionOpener(clock);
+        this.pacedCalls = new PacedCalls(clock);
         this.startedMillis = clock.nowMillis();
     }
 
@@ -58,9 +58,14 @@
         read();
     }
 
+    /** Calls all workers again: their reports were not applied before the jobs were loaded. */
+    void jobsLoaded() {
+        sessions.values().forEach(pacedCalls::call);
+    }
+
     /** Whether the owner has called every worker that it knows of. */
     boolean allCalled() {
-        return opener.isIdle();
+        return pacedCalls.isIdle();
     }
 
     private void read() {
@@ -161,9 +166,9 @@
                         context,
                         entry.get(),
                         fences.computeIfAbsent(id, created -> new WorkerFence(leaseVersion)),
-                        startedMillis + WorkerSession.formerLeaseBoundMillis());
+                        new WorkerLease(startedMillis + WorkerLease.formerBoundMillis()));
         sessions.put(id, opened);
-        opener.open(opened);
+        pacedCalls.call(opened);
     }
 
     private void deregister(WorkerId id) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -6,13 +6,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
-import org.quetzalscale.core.id.PoolId;
-import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.instance.WaveRequest;
@@ -27,8 +24,6 @@
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
-import org.quetzalscale.core.task.Recurrence;
-import org.quetzalscale.core.task.StepDefinition;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerEntry;
 
@@ -50,9 +45,8 @@
     private static final int FAULT_COUNT = 8;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
-    private static final int LASTING_TASKS = 3;
-    private static final int MAX_UNAVAILABLE = 1;
     private static final long WAVE_MILLIS = 25_000;
+    private static final int SLOW_LOAD_MILLIS = 4_900;
     private static final double FAILURE_PROBABILITY = 0.1;
     private static final long FAULT_PERIOD_MILLIS = 16_000;
     private static final int FAULT_PERIOD_MILLIS_OF_CRASHES = 8_000;
@@ -60,22 +54,20 @@
     private static final long WORKER_RESTART_MILLIS = 3_000;
     private static final long END_MILLIS = 45_000;
     private static final long END_WITH_LOST_RENEWALS_MILLIS = 90_000;
-    private static final long EPOCH_MILLIS = 1_700_000_000_000L;
-    private static final PoolId POOL = new PoolId("pool");
-    private static final QueueId QUEUE = new QueueId("queue");
 
     private final Variant variant;
     private final Faults injected;
     private final Random random;
     private final VirtualLoop loop = new VirtualLoop();
-    private final LastingTaskHistory lasting = new LastingTaskHistory(loop, MAX_UNAVAILABLE);
+    private final LastingTaskHistory lasting =
+            new LastingTaskHistory(loop, SimulatedJobs.MAX_UNAVAILABLE);
     private final RunHistory history = new RunHistory(MAX_ATTEMPTS, lasting);
     private final SimulatedStore store;
     private final SimulatedCalls.CallFaults callFaults = new SimulatedCalls.CallFaults();
     private final Map<WorkerId, SimulatedWorker> workers = new LinkedHashMap<>();
     private final Map<JobId, JobDefinition> jobs = new LinkedHashMap<>();
     private final SimulatedInstances instances =
-            new SimulatedInstances(loop, history, POOL, this::replaceWorker);
+            new SimulatedInstances(loop, history, SimulatedJobs.POOL, this::replaceWorker);
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> faults = new ArrayList<>();
 
@@ -117,12 +109,19 @@
          * All instances are killed, and the next owner calls a hundred workers with a slow
          * processor.
          */
-        SLOW_TAKEOVER,
+        SLOW_CONNECTIONS,
         /**
          * A task crashes each worker that starts it, and the owner is killed once meanwhile.
          * Workers return after some seconds.
          */
-        CRASHING_TASK
+        CRASHING_TASK,
+        /** Those of {@link #DRAWN}, and a new owner reads the jobs for seconds. */
+        SLOW_LOADS,
+        /**
+         * The owner is killed once, and the next one reads the jobs for almost as long as a lease
+         * of a worker lasts. The lease of no run may expire.
+         */
+        SLOW_TAKEOVER
     }
 
     /** An instance, which runs one process at a time. */
@@ -143,7 +142,7 @@
                     new LoopClock(
                             loop.executor(process::run),
                             loop::nowMillis,
-                            () -> EPOCH_MILLIS + loop.nowMillis());
+                            () -> SimulatedJobs.EPOCH_MILLIS + loop.nowMillis());
             FeedTable table = store.clientFor(process);
             PolicyWatcher policies = new PolicyWatcher(table, clock, operatorRows());
             owner =
@@ -177,7 +176,7 @@
             nodes.add(new Node("node-" + number));
         }
         for (int number = 1; number <= jobCount(); number++) {
-            JobDefinition job = job(number);
+            JobDefinition job = SimulatedJobs.drawn(number, random);
             jobs.put(job.id(), job);
             history.addJob(job);
             loop.after(random.nextInt((int) FAULT_PERIOD_MILLIS), () -> submit(job));
@@ -185,44 +184,65 @@
         if (variant != Variant.PLAIN) {
             beginMaintenance();
         }
-        if (injected == Faults.SLOW_TAKEOVER) {
-            callFaults.connectMillis = SLOW_CONNECT_MILLIS;
-            loop.after(FAULT_PERIOD_MILLIS / 2, () -> nodes.forEach(node -> node.kill(1_000)));
-        } else if (injected == Faults.CRASHING_TASK) {
-            loop.after(500 + random.nextInt(FAULT_PERIOD_MILLIS_OF_CRASHES), this::killOwner);
-        } else if (injected == Faults.LOST_RENEWALS) {
-            callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
-            loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
-        } else {
-            for (int i = 0; i < FAULT_COUNT; i++) {
-                loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
-            }
-        }
+        scheduleFaults();
         loop.runUntil(
                 injected == Faults.LOST_RENEWALS ? END_WITH_LOST_RENEWALS_MILLIS : END_MILLIS);
         List<String> found = history.violations();
+        if (injected == Faults.SLOW_TAKEOVER) {
+            found.addAll(history.expirations());
+        }
         found.addAll(unfinishedWork());
         return found;
     }
 
+    private void scheduleFaults() {
+        switch (injected) {
+            case LOST_RENEWALS -> {
+                callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
+                loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
+            }
+            case SLOW_CONNECTIONS -> {
+                callFaults.connectMillis = SLOW_CONNECT_MILLIS;
+                loop.after(FAULT_PERIOD_MILLIS / 2, () -> nodes.forEach(node -> node.kill(1_000)));
+            }
+            case CRASHING_TASK ->
+                    loop.after(
+                            500 + random.nextInt(FAULT_PERIOD_MILLIS_OF_CRASHES),
+                            () -> killOwner(RESTART_MILLIS));
+            case SLOW_TAKEOVER ->
+                    loop.after(
+                            FAULT_PERIOD_MILLIS / 2 + random.nextInt(1_000),
+                            () -> {
+                                store.jobReadMillis = SLOW_LOAD_MILLIS;
+                                killOwner(FAULT_PERIOD_MILLIS);
+                            });
+            default -> {
+                store.jobReadMillis = injected == Faults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
+                for (int i = 0; i < FAULT_COUNT; i++) {
+                    loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
+                }
+            }
+        }
+    }
+
     /** How often an instance took the fleet's lease. */
     long acquisitions() {
         return store.writesOf(FleetRows.OWNER);
     }
 
     private int workerCount() {
-        return injected == Faults.SLOW_TAKEOVER ? WORKERS_OF_A_LARGE_FLEET : WORKERS;
+        return injected == Faults.SLOW_CONNECTIONS ? WORKERS_OF_A_LARGE_FLEET : WORKERS;
     }
 
     private int jobCount() {
         return injected == Faults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
     }
 
-    private void killOwner() {
+    private void killOwner(long downMillis) {
         for (Node node : nodes) {
             if (node.process.isAlive() && node.owner.isOwner()) {
                 faults.add(loop.nowMillis() + ": " + node.name + " is killed");
-                node.kill(RESTART_MILLIS);
+                node.kill(downMillis);
             }
         }
     }
@@ -245,10 +265,10 @@
     }
 
     private void beginMaintenance() {
-        JobDefinition service = lastingJob();
+        JobDefinition service = SimulatedJobs.lasting(LASTING_JOB);
         jobs.put(service.id(), service);
         history.addJob(service);
-        for (int index = 0; index < LASTING_TASKS; index++) {
+        for (int index = 0; index < SimulatedJobs.LASTING_TASKS; index++) {
             lasting.addTask(new TaskRef(service.id(), 0, 0, index));
         }
         submit(service);
@@ -388,7 +408,7 @@
             found.add("the wave is not done");
         }
         for (JobId id : jobs.keySet()) {
-            if (id.equals(lastingJob().id())) {
+            if (id.equals(SimulatedJobs.lasting(LASTING_JOB).id())) {
                 continue;
             }
             JobPhase phase = progress.containsKey(id) ? progress.get(id).phase() : JobPhase.QUEUED;
@@ -403,37 +423,6 @@
         return found;
     }
 
-    private JobDefinition job(int number) {
-        int stepCount = 1 + random.nextInt(3);
-        List<StepDefinition> steps = new ArrayList<>();
-        for (int step = 0; step < stepCount; step++) {
-            List<Integer> after = step > 0 && random.nextBoolean() ? List.of(step - 1) : List.of();
-            steps.add(Steps.ending(1 + random.nextInt(4), 1 + random.nextInt(4), after));
-        }
-        boolean repeated = random.nextInt(4) == 0;
-        Recurrence recurrence =
-                repeated ? new Recurrence(2, EPOCH_MILLIS + 3_000, 4_000) : Recurrence.NONE;
-        return job(number, steps, recurrence);
-    }
-
-    private static JobDefinition lastingJob() {
-        StepDefinition step = Steps.lasting(LASTING_TASKS, 1, MAX_UNAVAILABLE);
-        return job(LASTING_JOB, List.of(step), Recurrence.NONE);
-    }
-
-    private static JobDefinition job(
-            int number, List<StepDefinition> steps, Recurrence recurrence) {
-        return new JobDefinition(
-                new JobId(String.format("%016x", number)),
-                QUEUE,
-                POOL,
-                Optional.empty(),
-                EPOCH_MILLIS,
-                "spec",
-                steps,
-                recurrence);
-    }
-
     private double need(TaskRef task) {
         return jobs.get(task.job()).steps().get(task.step()).need().cores();
     }
@@ -444,9 +433,16 @@
                         1,
                         List.of(),
                         Map.of(
-                                QUEUE,
-                                new QueuePolicy(QUEUE, POOL, 0, MAX_ATTEMPTS, 1.6, 600, true)),
-                        Map.of(POOL, new PoolPolicy(POOL, false)),
+                                SimulatedJobs.QUEUE,
+                                new QueuePolicy(
+                                        SimulatedJobs.QUEUE,
+                                        SimulatedJobs.POOL,
+                                        0,
+                                        MAX_ATTEMPTS,
+                                        1.6,
+                                        600,
+                                        true)),
+                        Map.of(SimulatedJobs.POOL, new PoolPolicy(SimulatedJobs.POOL, false)),
                         Map.of(),
                         Map.of());
         return new PolicyWatcher.OperatorRows(
@@ -476,7 +472,7 @@
     private static WorkerEntry entry(String id, String started) {
         return new WorkerEntry(
                 new WorkerId(id),
-                POOL,
+                SimulatedJobs.POOL,
                 new ZoneId("z"),
                 new InetSocketAddress("127.0.0.1", 1),
                 new Resources(CAPACITY, 1_000, 0, 0),
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
@@ -25,6 +25,7 @@
     private final List<String> violations = new ArrayList<>();
     private final Map<TaskRef, Integer> crashes = new HashMap<>();
     private final Map<TaskRef, Integer> startsAfterCrashes = new HashMap<>();
+    private final List<String> expirations = new ArrayList<>();
     private final int maxAttempts;
     private final LastingTaskHistory lasting;
 
@@ -108,6 +109,9 @@
         if (isLasting(task)) {
             lasting.ended(task, how == RunEnd.STOPPED);
         }
+        if (how == RunEnd.EXPIRED) {
+            expirations.add(atMillis + ": the lease of " + task + " expires");
+        }
         Event event = new Event(atMillis, Optional.of(how));
         eventsOf(task).add(event);
         return event;
@@ -152,6 +156,11 @@
                         .anyMatch(entry -> count(entry.getValue(), RunEnd.FAILED) >= maxAttempts);
     }
 
+    /** The runs that ended because their lease was not renewed. */
+    List<String> expirations() {
+        return expirations;
+    }
+
     /** The violations of the rules, given all acknowledgements so far. */
     List<String> violations() {
         List<String> found = new ArrayList<>(violations);
