--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -40,6 +40,8 @@
     /** Time between renewals, in milliseconds. */
     public static final long RENEW_MILLIS = 2_000;
 
+    private static final long NOT_OBSERVED = -1;
+
     private final TransactionalTable table;
     private final RowCodec<LeaseRow> codec;
     private final RowKey leaseKey;
@@ -50,8 +52,9 @@
     private final UnansweredAcquisitions unanswered;
     private final ReentrantLock lock = new ReentrantLock();
 
-    private long observedVersion = -1;
+    private long observedVersion = NOT_OBSERVED;
     private long observedSinceMillis;
+    private long observedAtMillis;
     private Lease held;
     private long heldUntilMillis;
 
@@ -164,6 +167,7 @@
         }
         long startedMillis = time.nowMillis();
         return table.read(leaseKey)
+                .whenComplete((row, failure) -> interruptObservationIfFailed(failure))
                 .thenCompose(row -> renewOrAcquire(row, startedMillis))
                 .handle(
                         (result, failure) -> {
@@ -326,20 +330,39 @@
         }
     }
 
+    /**
+     * Whether the row has been observed unchanged for some time. While the table cannot be read, or
+     * this process is paused, the holder may be unable to renew the lease as well, so that time
+     * does not count.
+     */
     private boolean isUnchangedFor(long millis, Row row) {
         long now = time.nowMillis();
         lock.lock();
         try {
-            if (row.version() != observedVersion) {
+            boolean interrupted = now - observedAtMillis > options.leaseMillis();
+            if (row.version() != observedVersion || interrupted) {
                 observedVersion = row.version();
                 observedSinceMillis = now;
             }
+            observedAtMillis = now;
             return now - observedSinceMillis >= millis;
         } finally {
             lock.unlock();
         }
     }
 
+    private void interruptObservationIfFailed(Throwable failure) {
+        if (failure == null) {
+            return;
+        }
+        lock.lock();
+        try {
+            observedVersion = NOT_OBSERVED;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private boolean isOwn(Row row) {
         return decode(row).holder().equals(self.value());
     }
