--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -46,10 +46,10 @@
     private static final int LONG_POLL_MILLIS = 1_000;
 
     /**
-     * Time between renewals while the jobs are loaded. A lease covers three of them, and the
-     * answers share the owner's link with the rows of the jobs.
+     * Time between renewals while the jobs are loaded, in which each renewal takes processor time
+     * and bandwidth from the load. It leaves 2 s of a lease for a late renewal.
      */
-    private static final long LOADING_RENEWAL_MILLIS = 1_500;
+    private static final long LOADING_RENEWAL_MILLIS = 3_000;
 
     private static final long RETRY_DELAY_MILLIS = 100;
 
