--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -319,7 +319,7 @@
         }
         if (answer == OrderAnswer.UNKNOWN) {
             if (task.state == TrackedTask.State.STARTING) {
-                jobs.stop(task, nowMillis);
+                jobs.handleUnansweredStart(task, nowMillis);
             }
             return;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -96,6 +96,7 @@
         task.percent = 0;
         task.pacePercent = 100;
         task.evicting = false;
+        task.unansweredMillis = 0;
         task.stopSentMillis = 0;
         task.stopAnsweredMillis = 0;
         boolean ended = task.step.job.phase.isFinal();
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -58,6 +58,19 @@
         changed.add(task.step.job);
     }
 
+    /**
+     * Handles a start that was not answered. A lasting task may be at work by then, and a stop
+     * would exceed the budget of its step, so the next report tells whether it runs: the worker
+     * rejects the start once it has accepted the renewal, which has a higher fencing token.
+     */
+    void handleUnansweredStart(TrackedTask task, long nowMillis) {
+        if (task.step.definition.lasting()) {
+            task.unansweredMillis = nowMillis;
+        } else {
+            stop(task, nowMillis);
+        }
+    }
+
     /** Stops a run, so that the task can be placed again. */
     void stop(TrackedTask task, long nowMillis) {
         task.transitionTo(TrackedTask.State.STOPPING, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -60,6 +60,9 @@
     /** The task is not started before this time. */
     long retryAtMillis;
 
+    /** When the wait for an answer to the start ended; 0 if it has not. */
+    long unansweredMillis;
+
     long stopSentMillis;
 
     /** When the worker answered the stop; 0 if it has not. */
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -129,7 +129,11 @@
                     task.state == TrackedTask.State.STOPPING
                             && task.stopAnsweredMillis != 0
                             && task.stopAnsweredMillis < sentMillis;
-            if (confirmedBefore || stoppedBefore) {
+            boolean neverStarted =
+                    task.state == TrackedTask.State.STARTING
+                            && task.unansweredMillis != 0
+                            && task.unansweredMillis < sentMillis;
+            if (confirmedBefore || stoppedBefore || neverStarted) {
                 jobs.release(task, nowMillis);
             }
         }
--- a/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
@@ -51,6 +51,47 @@
             assertThat(orders.lastStart().order().run()).isGreaterThan(start.order().run());
         }
 
+        /** Guards against a stop that ends a lasting task at work because an answer was late. */
+        @Test
+        void leaveLastingTasksRunningThatTheNextReportLists() {
+            RecordedOrders.Start start = startOneLastingTask();
+            answer(start, OrderAnswer.UNKNOWN);
+            now += 10;
+            report(1, List.of(running(start)), List.of());
+            now += 10;
+            report(1, List.of(running(start)), List.of());
+            plan();
+
+            assertThat(orders.stops).isEmpty();
+            assertThat(orders.starts).hasSize(1);
+        }
+
+        /**
+         * Guards against a second run of a lasting task: only a report that was requested with the
+         * raised fencing token shows that the start will not be carried out.
+         */
+        @Test
+        void restartLastingTasksThatALaterReportDoesNotList() {
+            RecordedOrders.Start start = startOneLastingTask();
+            answer(start, OrderAnswer.UNKNOWN);
+            report(1, List.of(), List.of());
+            plan();
+            assertThat(orders.starts).as("requested before the token was raised").hasSize(1);
+
+            now += 10;
+            report(1, List.of(), List.of());
+            plan();
+            assertThat(orders.starts).hasSize(2);
+            assertThat(orders.stops).isEmpty();
+        }
+
+        private RecordedOrders.Start startOneLastingTask() {
+            addWorker(1);
+            add(Samples.job(1, Samples.lasting(1, 1, 1)));
+            plan();
+            return orders.lastStart();
+        }
+
         /**
          * Guards against a late start that a worker carries out after a restart: its previous
          * incarnation answered the stop, of which the new one does not know.
