--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -112,6 +112,22 @@
             assertThat(changedPhases()).containsExactly(JobPhase.FAILED);
         }
 
+        /** Guards against crashes that do not count because a finite task was nearly done. */
+        @Test
+        void isGivenUpIfItHasReachedItsFullProgress() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        report(worker, List.of(running(orders.lastStart(), 100)), List.of());
+                        vanish(worker);
+                    });
+
+            assertThat(orders.starts).hasSize(STARTS_BEFORE_GIVING_UP);
+            assertThat(changedPhases()).containsExactly(JobPhase.FAILED);
+        }
+
         /** Guards against crashes that do not count because the worker never answered the start. */
         @Test
         void isGivenUpWithoutAnswersToItsStarts() {
@@ -223,6 +239,31 @@
             assertNeverGivenUp();
         }
 
+        /**
+         * Guards against a job that fails because its workers left as planned and were back, under
+         * the same names, before a report showed that they had left.
+         */
+        @Test
+        void byDrainingBeforeTheEntryOfTheNextIncarnationAreNoCrashes() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        scheduler.registerWorker(Samples.draining(worker), now);
+                        now += 300;
+                        scheduler.registerWorker(Samples.startedAt(worker, now), now);
+                        scheduler.handleReport(
+                                Samples.workerId(worker),
+                                Samples.reportOf(now),
+                                List.of(),
+                                now,
+                                now);
+                    });
+
+            assertNeverGivenUp();
+        }
+
         /** Guards against a lasting job that fails because crashes add up over its life. */
         @Test
         void ofRunsThatServedAreNoCrashes() {
