--- a/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
@@ -37,11 +37,11 @@
      * end of a worker that drains, or is drained by this owner, was planned and is no crash.
      */
     void recordCrash(WorkerState worker, long nowMillis) {
-        if (worker.entry.draining() || worker.cordoned) {
+        if (worker.entry.draining() || worker.leftAsPlanned || worker.cordoned) {
             return;
         }
         List<TrackedTask> suspects =
-                worker.tasks.values().stream().filter(task -> !task.isServing()).toList();
+                worker.tasks.values().stream().filter(task -> !task.isShownHarmless()).toList();
         if (suspects.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -414,6 +414,7 @@
         if (worker.startedEpochMillis == 0) {
             worker.startedEpochMillis = startedEpochMillis;
         } else if (startedEpochMillis > worker.startedEpochMillis) {
+            worker.leftAsPlanned |= worker.entry.draining();
             worker.reported = false;
             unansweredStarts.stopAll(worker.entry.id(), nowMillis);
         }
@@ -437,6 +438,7 @@
         worker.reported = false;
         worker.consecutiveFailures = 0;
         crashAttribution.recordCrash(worker, nowMillis);
+        worker.leftAsPlanned = false;
         unansweredStarts.stopAll(worker.entry.id(), nowMillis);
         for (TrackedTask task : List.copyOf(worker.tasks.values())) {
             if (task.state != TrackedTask.State.RUNNING) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -89,7 +89,7 @@
                             : worker.used.minus(task.step.definition.reserved());
         }
         usage.remove(task.step.job.definition.organisation(), task.step.definition.need());
-        if (task.isServing()) {
+        if (task.isShownHarmless()) {
             task.crashedRuns.clear();
         }
         task.worker = null;
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -89,7 +89,12 @@
 
     /** Whether a worker crashed under the task and the present run has not shown it harmless. */
     boolean isCrashSuspect() {
-        return !crashedRuns.isEmpty() && !isServing();
+        return !crashedRuns.isEmpty() && !isShownHarmless();
+    }
+
+    /** Whether the present run does lasting work. A task that ends shows it only by its end. */
+    boolean isShownHarmless() {
+        return step.definition.lasting() && isServing();
     }
 
     /** Whether the task uses resources of a worker. */
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -31,6 +31,12 @@
     /** Whether the worker is drained for maintenance or a move. */
     boolean cordoned;
 
+    /**
+     * Whether the last reported incarnation has left as planned: its entry was draining, and that
+     * of a later one has been read.
+     */
+    boolean leftAsPlanned;
+
     /** Whether calls to the worker fail. */
     boolean unresponsive;
 
@@ -109,7 +115,7 @@
 
     /** The number of tasks here that a crash of the worker would make suspects. */
     long tasksNotServing() {
-        return tasks.values().stream().filter(task -> !task.isServing()).count();
+        return tasks.values().stream().filter(task -> !task.isShownHarmless()).count();
     }
 
     int tasksOf(StepRun step) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
@@ -61,7 +61,7 @@
             onClose.run();
             confirm();
         }
-        return false;
+        return !confirming;
     }
 
     private void confirm() {
@@ -80,6 +80,10 @@
                                 clock.after(retryMillis, this::confirm);
                                 return;
                             }
+                            if (detector.pauses() != pausesBefore) {
+                                confirm();
+                                return;
+                            }
                             confirming = false;
                             confirmedPauses = pausesBefore;
                             onOpen.run();
