--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -209,6 +209,33 @@
             assertThat(changedPhases()).doesNotContain(JobPhase.FAILED);
         }
 
+        /**
+         * Guards against accepted work that waits although there is room (LOST): after all workers
+         * have crashed twice, each job looks as if it crashed them.
+         */
+        @Test
+        void ofAllWorkersTogetherKeepNoJobWaiting() {
+            int jobs = 3 * WORKERS;
+            for (int number = 1; number <= jobs; number++) {
+                add(Samples.job(number, Samples.step(1, 1)));
+            }
+            for (int crash = 0; crash < 2; crash++) {
+                plan();
+                orders.starts.forEach(CrashAttributionTest.this::confirm);
+                now += 10;
+                for (int worker = 1; worker <= WORKERS; worker++) {
+                    restart(worker);
+                }
+            }
+            orders.starts.clear();
+            for (int i = 0; i < 3; i++) {
+                plan();
+                now += 1_000;
+            }
+
+            assertThat(orders.starts).hasSize(jobs);
+        }
+
         /** Guards against a job that fails because its workers were silent, and not crashed. */
         @Test
         void byAnExpiredLeaseAreNoCrashes() {
