--- a/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
@@ -16,8 +16,8 @@
     private static final int MAX_CRASHES_ALONE = 3;
 
     /**
-     * Crashes after which a task is given up. It was the only strong suspect in the last two of
-     * them, so its neighbours are not given up with it.
+     * Crashes after which a task is given up. Unless it waited too long for such a worker, it was
+     * the only strong suspect in the last two of them, so its neighbours are not given up with it.
      */
     private static final int MAX_CRASHES = 4;
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -15,6 +15,14 @@
     private static final double FAILED_HERE_PENALTY = 4;
     private static final double SUSPECT_PENALTY = 8;
     private static final double COLD_PENALTY = 1;
+
+    /**
+     * How long a task waits for a worker without another strong suspect. After a power failure of
+     * many workers most tasks are suspects, and accepted work may not wait for 3 s beside free
+     * capacity.
+     */
+    private static final long MAX_WAIT_APART_MILLIS = 1_500;
+
     private static final double CRASH_SUSPECT_HERE_PENALTY = 6;
     private static final double CRASH_SUSPECT_COMPANY_PENALTY = 3;
 
@@ -45,7 +53,9 @@
         if (worker.isSuspect() && !worker.tasks.isEmpty()) {
             return false;
         }
-        if (task.isStrongCrashSuspect() && worker.runsStrongCrashSuspectBeside(task.step.job)) {
+        if (task.isStrongCrashSuspect()
+                && nowMillis - task.stateSinceMillis < MAX_WAIT_APART_MILLIS
+                && worker.runsStrongCrashSuspectBeside(task.step.job)) {
             return false;
         }
         if (step.requiredLabel().isPresent()
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -111,8 +111,8 @@
     }
 
     /**
-     * Whether several workers crashed under the task. No other task of this kind shares a worker
-     * with it, so that a further crash does not raise the suspicion against both.
+     * Whether several workers crashed under the task. {@link Placement} keeps it apart from other
+     * tasks of this kind, so that a further crash does not raise the suspicion against both.
      */
     boolean isStrongCrashSuspect() {
         return isCrashSuspect() && crashedRuns.size() >= STRONG_SUSPECT_CRASHES;
