--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerRowsTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerRowsTest.java
@@ -215,4 +215,31 @@
         await("completion", () -> phase().equals(Optional.of(JobPhase.COMPLETED)));
         third.stop();
     }
+
+    /**
+     * Guards against the loss of ends that an owner recorded while the record of progress did not
+     * fit the job.
+     */
+    @Test
+    void keepsWhatWasRecordedBesideARecordThatDoesNotFit() {
+        runToTheSecondStep();
+        table.put(
+                FleetRows.progress(JOB).value(),
+                "{\"id\":\"00000000000000aa\",\"phase\":\"QUEUED\","
+                        + "\"steps\":[{\"done\":[],\"failures\":{\"9\":[1]}}]}");
+        Node second = new Node("node-2");
+        await("takeover", second.owner::isOwner);
+        worker.end(SECOND, RunEnd.DONE);
+        await("recorded", () -> worker.acknowledged() == 2);
+        second.stop();
+
+        submit(job(new JobId("00000000000000b0")));
+        Node third = new Node("node-3");
+        await("a recorded job", () -> worker.startsOf(firstTask("00000000000000b0")) == 1);
+        FleetStatus status =
+                new FleetStatus(new InstanceId("node-3"), clock, third.policies, third.owner);
+        assertThat(onLoop(() -> status.job(JOB).orElseThrow()).path("steps").get(1).path("done"))
+                .hasToString("1");
+        third.stop();
+    }
 }
