--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -322,13 +322,19 @@
         boolean readable = !recorded.unreadable().contains(job.id());
         try {
             scheduler.addJob(job, recorded.of(job.id()), acceptedMillis, nowMillis);
-            recorded.whileUnreadable(job.id())
-                    .ifPresent(progress -> scheduler.restore(progress, nowMillis));
         } catch (IndexOutOfBoundsException e) {
             readable = false;
             RecordedProgress.logUnreadable(job.id(), FleetRows.progress(job.id()), e);
             scheduler.addJob(job, Optional.empty(), acceptedMillis, nowMillis);
         }
+        try {
+            recorded.whileUnreadable(job.id())
+                    .ifPresent(progress -> scheduler.restore(progress, nowMillis));
+        } catch (IndexOutOfBoundsException e) {
+            readable = false;
+            RecordedProgress.logUnreadable(
+                    job.id(), FleetRows.progressWhileUnreadable(job.id()), e);
+        }
         if (!readable) {
             scheduler.holdUnreadableJob(job.id());
         }
