--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
@@ -291,6 +294,43 @@
             assertNeverGivenUp();
         }
 
+        /**
+         * Guards against a job that fails because its workers ended by moves and maintenance that a
+         * former owner ordered.
+         */
+        @Test
+        void byOrdersOfAFormerOwnerAreNoCrashes() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        InstanceId instance = new InstanceId("m-" + worker);
+                        scheduler.updateInstances(
+                                List.of(
+                                        new FleetInstance(
+                                                instance,
+                                                Samples.POOL,
+                                                InstanceState.UP,
+                                                "",
+                                                Optional.of(Samples.workerId(worker)))),
+                                now);
+                        scheduler.setUnresponsive(Samples.workerId(worker), true, now);
+                        now += 300;
+                        scheduler.updateInstances(
+                                List.of(
+                                        new FleetInstance(
+                                                instance,
+                                                Samples.POOL,
+                                                InstanceState.MAINTENANCE,
+                                                "",
+                                                Optional.empty())),
+                                now);
+                    });
+
+            assertNeverGivenUp();
+        }
+
         /** Guards against a lasting job that fails because crashes add up over its life. */
         @Test
         void ofRunsThatServedAreNoCrashes() {
