--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -7,11 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -232,7 +234,13 @@
      */
     public List<WorkerId> updateInstances(List<FleetInstance> instances, long nowMillis) {
         Set<WorkerId> running = new HashSet<>();
+        // Ended by an order, which may be a former owner's, so that the worker is not cordoned.
+        Set<InstanceId> ordered = new HashSet<>();
         for (FleetInstance instance : instances) {
+            if (instance.state() == InstanceState.MOVING
+                    || instance.state() == InstanceState.MAINTENANCE) {
+                ordered.add(instance.id());
+            }
             if (instance.up()) {
                 instance.worker().ifPresent(running::add);
             }
@@ -247,7 +255,9 @@
             if (worker.isUnresponsiveFor(MIN_UNRESPONSIVE_MILLIS, nowMillis)
                     && !running.contains(id)) {
                 endedWorkers.add(id);
-                crashAttribution.recordCrash(worker, nowMillis);
+                if (!ordered.contains(worker.instance)) {
+                    crashAttribution.recordCrash(worker, nowMillis);
+                }
                 removeWorker(id, nowMillis);
             }
         }
