--- a/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
@@ -16,8 +16,8 @@
     private static final int MAX_CRASHES_ALONE = 3;
 
     /**
-     * Crashes after which a task is given up. It was the only strong suspect in the last two of
-     * them, so its neighbours are not given up with it.
+     * Crashes after which a task is given up. Unless it waited too long for such a worker, it was
+     * the only strong suspect in the last two of them, so its neighbours are not given up with it.
      */
     private static final int MAX_CRASHES = 4;
 
@@ -37,11 +37,11 @@
      * end of a worker that drains, or is drained by this owner, was planned and is no crash.
      */
     void recordCrash(WorkerState worker, long nowMillis) {
-        if (worker.entry.draining() || worker.cordoned) {
+        if (worker.entry.draining() || worker.leftAsPlanned || worker.cordoned) {
             return;
         }
         List<TrackedTask> suspects =
-                worker.tasks.values().stream().filter(task -> !task.isServing()).toList();
+                worker.tasks.values().stream().filter(task -> !task.isShownHarmless()).toList();
         if (suspects.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -92,7 +92,12 @@
 
     /** Whether a worker crashed under the task and the present run has not shown it harmless. */
     boolean isCrashSuspect() {
-        return !crashedRuns.isEmpty() && !isServing();
+        return !crashedRuns.isEmpty() && !isShownHarmless();
+    }
+
+    /** Whether the present run does lasting work. A task that ends shows it only by its end. */
+    boolean isShownHarmless() {
+        return step.definition.lasting() && isServing();
     }
 
     /** Whether the task uses resources of a worker. */
@@ -109,8 +114,8 @@
     }
 
     /**
-     * Whether several workers crashed under the task. No other task of this kind shares a worker
-     * with it, so that a further crash does not raise the suspicion against both.
+     * Whether several workers crashed under the task. {@link Placement} keeps it apart from other
+     * tasks of this kind, so that a further crash does not raise the suspicion against both.
      */
     boolean isStrongCrashSuspect() {
         return isCrashSuspect() && crashedRuns.size() >= STRONG_SUSPECT_CRASHES;
--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.WorkerId;
+import org.quetzalscale.core.instance.FleetInstance;
+import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
@@ -112,6 +115,22 @@
             assertThat(changedPhases()).containsExactly(JobPhase.FAILED);
         }
 
+        /** Guards against crashes that do not count because a finite task was nearly done. */
+        @Test
+        void isGivenUpIfItHasReachedItsFullProgress() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        report(worker, List.of(running(orders.lastStart(), 100)), List.of());
+                        vanish(worker);
+                    });
+
+            assertThat(orders.starts).hasSize(STARTS_BEFORE_GIVING_UP);
+            assertThat(changedPhases()).containsExactly(JobPhase.FAILED);
+        }
+
         /** Guards against crashes that do not count because the worker never answered the start. */
         @Test
         void isGivenUpWithoutAnswersToItsStarts() {
@@ -193,6 +212,33 @@
             assertThat(changedPhases()).doesNotContain(JobPhase.FAILED);
         }
 
+        /**
+         * Guards against accepted work that waits although there is room (LOST): after all workers
+         * have crashed twice, each job looks as if it crashed them.
+         */
+        @Test
+        void ofAllWorkersTogetherKeepNoJobWaiting() {
+            int jobs = 3 * WORKERS;
+            for (int number = 1; number <= jobs; number++) {
+                add(Samples.job(number, Samples.step(1, 1)));
+            }
+            for (int crash = 0; crash < 2; crash++) {
+                plan();
+                orders.starts.forEach(CrashAttributionTest.this::confirm);
+                now += 10;
+                for (int worker = 1; worker <= WORKERS; worker++) {
+                    restart(worker);
+                }
+            }
+            orders.starts.clear();
+            for (int i = 0; i < 3; i++) {
+                plan();
+                now += 1_000;
+            }
+
+            assertThat(orders.starts).hasSize(jobs);
+        }
+
         /** Guards against a job that fails because its workers were silent, and not crashed. */
         @Test
         void byAnExpiredLeaseAreNoCrashes() {
@@ -223,6 +269,68 @@
             assertNeverGivenUp();
         }
 
+        /**
+         * Guards against a job that fails because its workers left as planned and were back, under
+         * the same names, before a report showed that they had left.
+         */
+        @Test
+        void byDrainingBeforeTheEntryOfTheNextIncarnationAreNoCrashes() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        scheduler.registerWorker(Samples.draining(worker), now);
+                        now += 300;
+                        scheduler.registerWorker(Samples.startedAt(worker, now), now);
+                        scheduler.handleReport(
+                                Samples.workerId(worker),
+                                Samples.reportOf(now),
+                                List.of(),
+                                now,
+                                now);
+                    });
+
+            assertNeverGivenUp();
+        }
+
+        /**
+         * Guards against a job that fails because its workers ended by moves and maintenance that a
+         * former owner ordered.
+         */
+        @Test
+        void byOrdersOfAFormerOwnerAreNoCrashes() {
+            add(job);
+
+            startAndCrash(
+                    WORKERS,
+                    worker -> {
+                        InstanceId instance = new InstanceId("m-" + worker);
+                        scheduler.updateInstances(
+                                List.of(
+                                        new FleetInstance(
+                                                instance,
+                                                Samples.POOL,
+                                                InstanceState.UP,
+                                                "",
+                                                Optional.of(Samples.workerId(worker)))),
+                                now);
+                        scheduler.setUnresponsive(Samples.workerId(worker), true, now);
+                        now += 300;
+                        scheduler.updateInstances(
+                                List.of(
+                                        new FleetInstance(
+                                                instance,
+                                                Samples.POOL,
+                                                InstanceState.MAINTENANCE,
+                                                "",
+                                                Optional.empty())),
+                                now);
+                    });
+
+            assertNeverGivenUp();
+        }
+
         /** Guards against a lasting job that fails because crashes add up over its life. */
         @Test
         void ofRunsThatServedAreNoCrashes() {
