--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -24,7 +24,9 @@
     private static final long MAX_WAIT_APART_MILLIS = 1_500;
 
     private static final double CRASH_SUSPECT_HERE_PENALTY = 6;
-    private static final double CRASH_SUSPECT_COMPANY_PENALTY = 3;
+
+    /** For each other task on the worker of a suspect. Outweighs the rack of its data. */
+    private static final double CRASH_SUSPECT_NEIGHBOR_PENALTY = 3;
 
     private Placement() {}
 
@@ -83,7 +85,7 @@
             score -= COLD_PENALTY;
         }
         if (task.isCrashSuspect()) {
-            score -= CRASH_SUSPECT_COMPANY_PENALTY * worker.tasksNotServing();
+            score -= CRASH_SUSPECT_NEIGHBOR_PENALTY * worker.tasksNotServing();
         } else if (worker.runsCrashSuspect()) {
             score -= CRASH_SUSPECT_HERE_PENALTY;
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -109,10 +109,10 @@
     /**
      * Calls the worker at once, unless a call is in progress.
      *
-     * @param onNextResult called when the worker has answered, or the call has failed
+     * @param onResult called when the worker has answered, or the call has failed
      */
-    void call(Runnable onNextResult) {
-        this.onNextResult = onNextResult;
+    void call(Runnable onResult) {
+        onNextResult = onResult;
         renew();
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/RunHistory.java
@@ -17,6 +17,8 @@
  */
 final class RunHistory {
     private static final int CRASHES_OF_A_FAILED_TASK = 3;
+
+    /** The platform counts the third start after these crashes as a fault. */
     private static final int MAX_STARTS_AFTER_CRASHES = 2;
 
     private final Map<JobId, JobDefinition> jobs = new HashMap<>();
