Answer job queries without waitMs

An error of SiblingFrameDecoder repeated its prefix. Change: the wait is an Optional; an error that is already a malformed frame is passed on. Result: JobHandlersTest and SiblingFrameTest pass, with one new test each. The new tests were not run on the old code.

--- a/daemon/src/main/java/org/quetzalscale/daemon/job/JobHandlers.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobHandlers.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
@@ -74,11 +75,12 @@
     /**
      * Answers {@code GET /v1/jobs/<id>?waitMs=n}.
      *
-     * @param waitMs time to wait for the end of the job, in milliseconds, or empty text for none
+     * @param waitMs time to wait for the end of the job, in milliseconds; empty for none
      */
-    public CompletionStage<HttpReply> find(TeamId team, String id, String waitMs) {
+    public CompletionStage<HttpReply> find(TeamId team, String id, Optional<String> waitMs) {
         try {
-            long deadlineMillis = time.nowMillis() + waitMillis(waitMs);
+            long waitMillis = waitMs.map(JobHandlers::parseWaitMillis).orElse(0L);
+            long deadlineMillis = time.nowMillis() + waitMillis;
             return find(team, jobId(id), deadlineMillis)
                     .thenApply(job -> HttpReply.json(OK, JobAnswer.of(job)));
         } catch (QuetzalscaleException e) {
@@ -121,10 +123,7 @@
                         });
     }
 
-    private static long waitMillis(String waitMs) {
-        if (waitMs.isEmpty()) {
-            return 0;
-        }
+    private static long parseWaitMillis(String waitMs) {
         if (waitMs.matches("\\d{1,6}") && Long.parseLong(waitMs) <= MAX_WAIT_MILLIS) {
             return Long.parseLong(waitMs);
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/job/JobRoutes.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/job/JobRoutes.java
@@ -46,7 +46,7 @@
             return handlers.cancel(team, id);
         }
         requireMethod(call, call.method().equals(HttpMethod.GET));
-        return handlers.find(team, id, call.parameter("waitMs").orElse(null));
+        return handlers.find(team, id, call.parameter("waitMs"));
     }
 
     private static void requireMethod(HttpCall call, boolean allowed) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameDecoder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/sibling/SiblingFrameDecoder.java
@@ -47,7 +47,7 @@
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
             throw malformed(e.toString(), e);
         } catch (QuetzalscaleException e) {
-            throw malformed(e.getMessage(), e);
+            throw e.kind() == ErrorKind.MALFORMED_FRAME ? e : malformed(e.getMessage(), e);
         }
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/job/JobHandlersTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/job/JobHandlersTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -29,6 +31,7 @@
 import org.quetzalscale.core.limit.LimitRow;
 import org.quetzalscale.core.table.InMemoryTable;
 import org.quetzalscale.core.table.RowCodec;
+import org.quetzalscale.net.http.HttpCall;
 import org.quetzalscale.net.http.HttpReply;
 import org.quetzalscale.net.json.Json;
 
@@ -62,13 +65,22 @@
         void aSubmittedJobCanBeLookedUpAndCancelled() {
             HttpReply submitted = submit("{\"command\":\"trace 7\",\"cores\":4}");
             assertThat(submitted.status()).isEqualTo(201);
-            HttpReply found = join(handlers.find(TEAM, id(submitted), ""));
+            HttpReply found = join(handlers.find(TEAM, id(submitted), Optional.empty()));
             assertThat(state(found)).isEqualTo("QUEUED");
             HttpReply cancelled = join(handlers.cancel(TEAM, id(submitted)));
             assertThat(cancelled.status()).isEqualTo(200);
             assertThat(state(cancelled)).isEqualTo("CANCELLED");
         }
 
+        /** Guards against an internal error for a query without {@code waitMs}. */
+        @Test
+        void aJobCanBeLookedUpThroughTheRoutesWithoutAWait() {
+            String path = "/v1/jobs/" + id(submit("{\"command\":\"trace 7\",\"cores\":4}"));
+            JobRoutes routes = new JobRoutes(handlers, () -> {});
+            HttpCall call = HttpCall.of(HttpMethod.GET, path, new byte[0]);
+            assertThat(state(join(routes.handle(TEAM, call)))).isEqualTo("QUEUED");
+        }
+
         /** Guards against a retried submission that creates a second job. */
         @Test
         void aRepeatedSubmissionKeyReturnsTheSameJob() {
--- a/daemon/src/test/java/org/quetzalscale/daemon/job/JobServiceTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/job/JobServiceTest.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
@@ -89,7 +90,7 @@
     }
 
     private static String waitForEnd(JobHandlers handlers, String id) {
-        HttpReply reply = join(handlers.find(TEAM, id, "20000"));
+        HttpReply reply = join(handlers.find(TEAM, id, Optional.of("20000")));
         return Json.readTree(reply.body()).get("state").textValue();
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingFrameTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/sibling/SiblingFrameTest.java
@@ -51,6 +51,14 @@
                 new SiblingFrame.JobWake());
     }
 
+    /** Guards against a reason that repeats its prefix. */
+    @Test
+    void namesTheReasonOnce() {
+        byte[] frame = SiblingFrameEncoder.encode(new SiblingFrame.Confirm(new Revision(1)));
+        assertThatThrownBy(() -> SiblingFrameDecoder.decode(Arrays.copyOf(frame, frame.length + 1)))
+                .hasMessage("malformed frame: bytes after the frame");
+    }
+
     @ParameterizedTest
     @MethodSource("frames")
     void decodesWhatItEncoded(SiblingFrame frame) {
