Partition accepted jobs and bound the calls to a full store

While the store is slow, submissions filled the partition of the owner's lease, and each refused call was relayed through siblings that were refused as well.

Rows of accepted jobs and their cancellations go to 16 partitions of the table jobs, chosen by a hash of the job id. Jobs that an earlier release accepted are still found.

After two siblings were refused, StoreRoute permits no relay for 500 ms, then one call asks again.

Result: submissions no longer share a partition with the lease, and a store that refuses all instances gets few calls more than the first attempts. Tests of core, daemon and platform pass.

--- a/core/src/main/java/org/quetzalscale/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/quetzalscale/core/retry/RetryBudget.java
@@ -16,11 +16,8 @@
     /** Number of retries permitted in the window in addition, whatever the number of requests. */
     public static final int MIN_RETRIES = 10;
 
-    private static final int BUCKETS = 10;
-    private static final long BUCKET_MILLIS = 1_000;
-
     private final TimeSource time;
-    private final Map<PoolId, Window> windows = new HashMap<>();
+    private final Map<PoolId, RetryWindow> windows = new HashMap<>();
 
     /** Creates a budget without recent requests. */
     public RetryBudget(TimeSource time) {
@@ -29,54 +26,15 @@
 
     /** Counts a request at its first attempt. */
     public synchronized void countRequest(PoolId pool) {
-        currentWindow(pool).requests[bucket()]++;
+        window(pool).countRequest(time.nowMillis());
     }
 
     /** Counts a retry if the pool's budget permits it; returns false if the budget is exhausted. */
     public synchronized boolean tryRetry(PoolId pool) {
-        Window window = currentWindow(pool);
-        if (sum(window.retries) >= MIN_RETRIES + RETRY_RATIO * sum(window.requests)) {
-            return false;
-        }
-        window.retries[bucket()]++;
-        return true;
-    }
-
-    private Window currentWindow(PoolId pool) {
-        Window window = windows.computeIfAbsent(pool, id -> new Window());
-        window.advanceTo(time.nowMillis() / BUCKET_MILLIS);
-        return window;
-    }
-
-    private int bucket() {
-        return Math.floorMod(time.nowMillis() / BUCKET_MILLIS, BUCKETS);
-    }
-
-    private static int sum(int[] counts) {
-        int total = 0;
-        for (int count : counts) {
-            total += count;
-        }
-        return total;
+        return window(pool).tryRetry(time.nowMillis());
     }
 
-    /** Sliding window of request and retry counts, with one bucket per second. */
-    private static final class Window {
-        private final int[] requests = new int[BUCKETS];
-        private final int[] retries = new int[BUCKETS];
-        private long lastSecond = Long.MIN_VALUE;
-
-        void advanceTo(long nowSecond) {
-            long cleared =
-                    lastSecond == Long.MIN_VALUE
-                            ? BUCKETS
-                            : Math.min(BUCKETS, nowSecond - lastSecond);
-            for (int i = 0; i < cleared; i++) {
-                int bucket = Math.floorMod(nowSecond - i, BUCKETS);
-                requests[bucket] = 0;
-                retries[bucket] = 0;
-            }
-            lastSecond = nowSecond;
-        }
+    private RetryWindow window(PoolId pool) {
+        return windows.computeIfAbsent(pool, id -> new RetryWindow(RETRY_RATIO, MIN_RETRIES));
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/table/RowKey.java
+++ b/core/src/main/java/org/quetzalscale/core/table/RowKey.java
@@ -7,6 +7,9 @@
 public record RowKey(String value) implements Comparable<RowKey> {
     private static final int MAX_KEY_CHARS = 512;
 
+    /** Segments of a key that names a partition. */
+    private static final int MIN_SEGMENTS = 2;
+
     /**
      * Checks the length.
      *
@@ -30,6 +33,12 @@
         return new RowKey(String.join("/", segments));
     }
 
+    /** The second segment, which names the store's partition of the row; may be empty. */
+    public String partition() {
+        String[] segments = value.split("/", MIN_SEGMENTS + 1);
+        return segments.length < MIN_SEGMENTS ? "" : segments[1];
+    }
+
     @Override
     public int compareTo(RowKey other) {
         return value.compareTo(other.value);
--- a/core/src/main/java/org/quetzalscale/core/table/StoreRoute.java
+++ b/core/src/main/java/org/quetzalscale/core/table/StoreRoute.java
@@ -10,8 +10,13 @@
 /**
  * Chooses how a call reaches the store: directly or through a sibling. The store may refuse some
  * instances while it serves others; calls then go through one of the others until the store
- * responds to this instance again. During an outage for all instances, every sibling fails and no
- * route is left until a pause ends or a probe succeeds.
+ * responds to this instance again.
+ *
+ * <p>The load that this class answers is a store, or one full partition, that refuses all
+ * instances: a sibling is refused as well, and each relayed call is one more call to the store.
+ * After two siblings were refused, no call is relayed for a pause. Then one call at a time asks
+ * another sibling, until one is served. The pause outlasts direct calls that succeed, because a
+ * full partition accepts single calls.
  *
  * <p>Times are milliseconds of one monotonic clock. Not thread-safe.
  */
@@ -22,13 +27,28 @@
     /** How long a sibling is not used after it failed. */
     private static final long SIBLING_PAUSE_MILLIS = 1_000;
 
+    /**
+     * Refused siblings after which the store is taken to refuse all instances. The store may refuse
+     * a part of the instances, so one sibling does not tell.
+     */
+    private static final int REFUSALS_BEFORE_PAUSE = 2;
+
+    /** How long no call is relayed after the store refused siblings as well. */
+    private static final long RELAY_PAUSE_MILLIS = 500;
+
+    /** How long a refusal of a sibling tells about the store. */
+    private static final long REFUSAL_AGE_MILLIS = 2_000;
+
+    private final Map<InstanceId, Long> refusedMillis = new HashMap<>();
     private final Map<InstanceId, Long> pausedUntilMillis = new HashMap<>();
     private List<InstanceId> siblings = List.of();
     private boolean direct = true;
     private long nextProbeMillis;
 
-    /** When a sibling last replied that the store does not serve it either. */
-    private long siblingRefusedMillis = Long.MIN_VALUE / 2;
+    private long relaysPausedUntilMillis = Long.MIN_VALUE;
+
+    /** The sibling of the only relayed call after a pause, until it is answered. */
+    private Optional<InstanceId> asked = Optional.empty();
 
     /** Whether calls go directly, because the store responded to the last direct call. */
     public boolean isDirect() {
@@ -45,6 +65,7 @@
         current.stream().filter(id -> !ordered.contains(id)).forEach(ordered::add);
         siblings = ordered;
         pausedUntilMillis.keySet().retainAll(current);
+        refusedMillis.keySet().retainAll(current);
     }
 
     /** Records that the store responded to a direct call. */
@@ -62,7 +83,8 @@
 
     /** The sibling to use for a call; empty if calls go directly or no sibling is available. */
     public Optional<InstanceId> nextSibling(long nowMillis) {
-        if (direct) {
+        boolean pausing = asked.isPresent() || nowMillis < relaysPausedUntilMillis;
+        if (direct || (pausing && isRefusedToAll(nowMillis))) {
             return Optional.empty();
         }
         return siblings.stream()
@@ -70,9 +92,22 @@
                 .findFirst();
     }
 
+    /** Records that a call is sent through the sibling; its outcome must be recorded as well. */
+    public void onSiblingCall(InstanceId id, long nowMillis) {
+        if (isRefusedToAll(nowMillis)) {
+            asked = Optional.of(id);
+        }
+    }
+
     /** Whether the store serves neither this instance nor any sibling that can be reached. */
     public boolean isUnavailableToAll(long nowMillis) {
-        return !direct && nowMillis - siblingRefusedMillis < 2 * SIBLING_PAUSE_MILLIS;
+        return !direct && recentRefusals(nowMillis) > 0;
+    }
+
+    /** Records that the store responded to a call through a sibling. */
+    public void onSiblingSuccess() {
+        refusedMillis.clear();
+        asked = Optional.empty();
     }
 
     /**
@@ -81,8 +116,12 @@
      * @param answered whether the sibling itself replied
      */
     public void onSiblingFailure(InstanceId id, boolean answered, long nowMillis) {
+        if (asked.equals(Optional.of(id))) {
+            asked = Optional.empty();
+        }
         if (answered) {
-            siblingRefusedMillis = nowMillis;
+            refusedMillis.put(id, nowMillis);
+            relaysPausedUntilMillis = nowMillis + RELAY_PAUSE_MILLIS;
         }
         pausedUntilMillis.put(id, nowMillis + SIBLING_PAUSE_MILLIS);
         List<InstanceId> ordered = new ArrayList<>(siblings);
@@ -92,6 +131,18 @@
         }
     }
 
+    /** Whether so many siblings were refused that the store is taken to refuse all instances. */
+    public boolean isRefusedToAll(long nowMillis) {
+        int needed = Math.min(REFUSALS_BEFORE_PAUSE, siblings.size());
+        return needed > 0 && recentRefusals(nowMillis) >= needed;
+    }
+
+    private long recentRefusals(long nowMillis) {
+        return refusedMillis.values().stream()
+                .filter(refused -> nowMillis - refused < REFUSAL_AGE_MILLIS)
+                .count();
+    }
+
     /** Returns whether a probe is due, and if so schedules the next one. */
     public boolean tryStartProbe(long nowMillis) {
         if (direct || nowMillis < nextProbeMillis) {
--- a/core/src/test/java/org/quetzalscale/core/table/StoreRouteTest.java
+++ b/core/src/test/java/org/quetzalscale/core/table/StoreRouteTest.java
@@ -12,6 +12,7 @@
 final class StoreRouteTest {
     private static final InstanceId FIRST = new InstanceId("node-1");
     private static final InstanceId SECOND = new InstanceId("node-2");
+    private static final InstanceId THIRD = new InstanceId("node-3");
 
     private final StoreRoute route = new StoreRoute();
 
@@ -74,6 +75,56 @@
             assertThat(route.isUnavailableToAll(4_001)).isFalse();
         }
 
+        /** Guards against relays that keep a partition full which refuses everybody. */
+        @Test
+        void pausesAfterTwoSiblingsWereRefusedThenAsksOnce() {
+            route.updateSiblings(List.of(FIRST, SECOND, THIRD));
+            refuse(FIRST, 1_000);
+            assertThat(route.nextSibling(1_000)).contains(SECOND);
+            refuse(SECOND, 1_001);
+            assertThat(route.isRefusedToAll(1_001)).isTrue();
+            assertThat(route.nextSibling(1_002)).isEmpty();
+            route.onDirectSuccess();
+            route.onDirectFailure(1_300);
+            assertThat(route.nextSibling(1_300)).as("the pause outlasts a success").isEmpty();
+
+            assertThat(route.nextSibling(1_501)).contains(THIRD);
+            route.onSiblingCall(THIRD, 1_501);
+            assertThat(route.nextSibling(1_502)).as("one call asks").isEmpty();
+            route.onSiblingFailure(THIRD, true, 1_510);
+            assertThat(route.nextSibling(2_005)).as("the next pause").isEmpty();
+            assertThat(route.nextSibling(2_011)).contains(FIRST);
+        }
+
+        /** Guards against a pause that goes on although siblings are served. */
+        @Test
+        void relaysAgainOnceASiblingIsServed() {
+            refuse(FIRST, 1_000);
+            refuse(SECOND, 1_000);
+            route.updateSiblings(List.of(FIRST, SECOND, THIRD));
+            route.onSiblingCall(THIRD, 1_500);
+            route.onSiblingSuccess();
+            assertThat(route.nextSibling(1_501)).contains(THIRD);
+            assertThat(route.isUnavailableToAll(1_501)).isFalse();
+        }
+
+        /** Guards against a pause that never ends because the sibling that was asked has left. */
+        @Test
+        void asksAgainWhenTheAskedSiblingWasNotReached() {
+            refuse(FIRST, 1_000);
+            refuse(SECOND, 1_000);
+            route.updateSiblings(List.of(FIRST, SECOND, THIRD));
+            route.onSiblingCall(THIRD, 1_500);
+            route.updateSiblings(List.of(FIRST, SECOND));
+            route.onSiblingFailure(THIRD, false, 1_800);
+            assertThat(route.nextSibling(2_001)).isPresent();
+        }
+
+        private void refuse(InstanceId sibling, long nowMillis) {
+            route.onSiblingCall(sibling, nowMillis);
+            route.onSiblingFailure(sibling, true, nowMillis);
+        }
+
         /** Guards against switching to another sibling with each new list. */
         @Test
         void keepsTheWorkingSiblingFirst() {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
@@ -8,6 +8,7 @@
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.Mutation;
+import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.table.TransactionalTable;
 import org.tinylog.Logger;
@@ -20,7 +21,7 @@
     /** Added to the time for which the state of an ended job can be queried. */
     private static final long MARGIN_MILLIS = 60_000;
 
-    private static final long DELETE_INTERVAL_MILLIS = 5_000;
+    private static final long DELETE_INTERVAL_MILLIS = 3_000;
 
     /**
      * How long deleted jobs are remembered: longer than a scan of all jobs takes, which may still
@@ -28,8 +29,8 @@
      */
     private static final long DELETED_RETENTION_MILLIS = 60_000;
 
-    /** Each job has at most four rows, and a transaction takes at most 100 entries. */
-    private static final int MAX_JOBS_PER_TRANSACTION = 24;
+    /** Each job has at most six rows, and a transaction takes at most 100 entries. */
+    private static final int MAX_JOBS_PER_TRANSACTION = 16;
 
     private final TransactionalTable table;
     private final LoopClock clock;
@@ -91,8 +92,10 @@
     private void delete(List<JobId> due) {
         Transaction.Builder transaction = Transaction.builder().require(fence);
         for (JobId id : due) {
-            transaction.add(Mutation.delete(FleetRows.job(id)));
-            transaction.add(Mutation.delete(FleetRows.cancellation(id)));
+            for (RowKey job : List.of(FleetRows.job(id), FleetRows.jobOfEarlierRelease(id))) {
+                transaction.add(Mutation.delete(job));
+                transaction.add(Mutation.delete(FleetRows.cancellation(job)));
+            }
             transaction.add(Mutation.delete(FleetRows.progress(id)));
             transaction.add(Mutation.delete(FleetRows.progressWhileUnreadable(id)));
         }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -44,6 +44,15 @@
                     "quetzalscale_fleet_refusals_total",
                     "Requests of callers that were refused, by reason",
                     "kind");
+    private final Counter storeTransactions =
+            counter(
+                    "quetzalscale_fleet_store_transactions_total",
+                    "Transactions sent to the store, by the partition of their first row",
+                    "part");
+    private final Counter refusedRelays =
+            counter(
+                    "quetzalscale_fleet_refused_relays_total",
+                    "Calls sent through a sibling that the store refused as well");
     private final Gauge owner =
             Gauge.builder()
                     .name("quetzalscale_fleet_owner")
@@ -70,6 +79,16 @@
         storeCalls.labelValues(call, outcome).observe(millis / MILLIS_PER_SECOND);
     }
 
+    /** Counts a transaction that is sent to the store. */
+    public void transaction(String partition) {
+        storeTransactions.labelValues(partition).inc();
+    }
+
+    /** Counts a call through a sibling that the store refused as well. */
+    public void relayRefused() {
+        refusedRelays.inc();
+    }
+
     /** Counts an order by its answer. */
     public void order(String order, String answer) {
         orders.labelValues(order, answer).inc();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -1,12 +1,16 @@
 package org.quetzalscale.daemon.fleet;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.table.RowKey;
 
 /**
  * Row keys of the fleet. All rows of the owner are in one shard, which the owner's lease fences.
+ * Accepted jobs and their cancellations are in other partitions, chosen by a hash of the job id, so
+ * that submissions do not fill the partition of the lease.
  */
 final class FleetRows {
     /** Name of the owner's lease, and of the shard that it fences. */
@@ -15,7 +19,20 @@
     /** Accepted jobs and their cancellations. */
     static final String JOBS = "jobs";
 
-    static final String JOBS_PREFIX = JOBS + "/" + SHARD + "/";
+    /**
+     * The deployments submit about 60 jobs per second. While the store is 34 times slower, a
+     * partition processes about ten transactions per second; with 16 partitions each gets less than
+     * four, so that an uneven hash or repeated calls do not fill it. More partitions make a new
+     * owner send more reads.
+     */
+    static final int JOB_PARTITIONS = 16;
+
+    /** Rows of {@link #JOBS} in the shard: the owner's, and jobs that earlier releases accepted. */
+    static final String SHARD_JOBS_PREFIX = JOBS + "/" + SHARD + "/";
+
+    /** Prefixes of the row keys of accepted jobs, one for each partition. */
+    static final List<String> JOB_PREFIXES =
+            IntStream.range(0, JOB_PARTITIONS).mapToObj(FleetRows::jobPrefix).toList();
 
     /**
      * Written by each new owner when it takes the lease. The feed of jobs shows this row before any
@@ -40,21 +57,36 @@
     /** Maintained instances of each wave. */
     static final String WAVES_PREFIX = "waves/" + SHARD + "/";
 
+    /** Spreads ids that differ in few bits (Fibonacci hashing). */
+    private static final int HASH_FACTOR = 0x9E3779B9;
+
+    private static final int SEGMENTS = 3;
     private static final String CANCEL_SUFFIX = "/cancel";
     private static final String UNREADABLE_SUFFIX = "/unreadable";
 
     private FleetRows() {}
 
     static RowKey job(JobId id) {
-        return new RowKey(JOBS_PREFIX + id);
+        long hash = Integer.toUnsignedLong(id.value().hashCode() * HASH_FACTOR);
+        return new RowKey(JOB_PREFIXES.get((int) (hash * JOB_PARTITIONS >>> Integer.SIZE)) + id);
+    }
+
+    /** Where releases without partitions recorded a job. */
+    static RowKey jobOfEarlierRelease(JobId id) {
+        return new RowKey(SHARD_JOBS_PREFIX + id);
+    }
+
+    private static String jobPrefix(int partition) {
+        return JOBS + "/" + SHARD + "-" + partition + "/";
     }
 
     static RowKey wave(long number) {
         return new RowKey(WAVES_PREFIX + number);
     }
 
-    static RowKey cancellation(JobId id) {
-        return new RowKey(JOBS_PREFIX + id + CANCEL_SUFFIX);
+    /** The cancellation of the job with this row; it follows the job in the same partition. */
+    static RowKey cancellation(RowKey job) {
+        return new RowKey(job + CANCEL_SUFFIX);
     }
 
     static RowKey progress(JobId id) {
@@ -88,10 +120,11 @@
      * keys of other writers may.
      */
     static Optional<JobId> jobOf(RowKey key) {
-        if (!key.value().startsWith(JOBS_PREFIX)) {
+        String[] segments = key.value().split("/", SEGMENTS);
+        if (segments.length < SEGMENTS || !holdsJobs(segments[0] + "/" + segments[1] + "/")) {
             return Optional.empty();
         }
-        String name = key.value().substring(JOBS_PREFIX.length());
+        String name = segments[SEGMENTS - 1];
         String id =
                 isCancellation(key)
                         ? name.substring(0, name.length() - CANCEL_SUFFIX.length())
@@ -102,4 +135,8 @@
             return Optional.empty();
         }
     }
+
+    private static boolean holdsJobs(String prefix) {
+        return prefix.equals(SHARD_JOBS_PREFIX) || JOB_PREFIXES.contains(prefix);
+    }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -10,6 +10,7 @@
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.retry.OutageBackoff;
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.Row;
@@ -46,6 +47,7 @@
     private final FeedTable table;
     private final LoopClock clock;
     private final BooleanSupplier storeUnavailableToAll;
+    private final CallRetryBudget budget;
     private final OutageBackoff backoff = new OutageBackoff();
     private JsonNode cachedWaiting;
     private long waitingReadMillis;
@@ -54,8 +56,14 @@
      * Creates a gateway.
      *
      * @param storeUnavailableToAll whether, as far as is known, no instance reaches the store
+     * @param budget permits the repeated calls of the instance
      */
-    public JobGateway(FeedTable table, LoopClock clock, BooleanSupplier storeUnavailableToAll) {
+    public JobGateway(
+            FeedTable table,
+            LoopClock clock,
+            BooleanSupplier storeUnavailableToAll,
+            CallRetryBudget budget) {
+        this.budget = budget;
         this.storeUnavailableToAll = storeUnavailableToAll;
         this.table = table;
         this.clock = clock;
@@ -83,7 +91,7 @@
                             if (row.isPresent()) {
                                 return CompletableFuture.completedFuture(row.map(this::phaseOf));
                             }
-                            return retry(() -> table.read(FleetRows.job(id)), deadlineMillis)
+                            return readJob(id, deadlineMillis)
                                     .thenApply(job -> job.map(ignored -> JobPhase.QUEUED));
                         });
     }
@@ -94,7 +102,7 @@
      * @return whether there is such a job
      */
     public CompletionStage<Boolean> cancel(JobId id, long deadlineMillis) {
-        return retry(() -> table.read(FleetRows.job(id)), deadlineMillis)
+        return readJob(id, deadlineMillis)
                 .thenCompose(
                         row -> {
                             if (row.isEmpty()) {
@@ -102,13 +110,25 @@
                             }
                             Transaction cancellation =
                                     Transaction.builder()
-                                            .put(FleetRows.cancellation(id), "{}")
+                                            .put(FleetRows.cancellation(row.get().key()), "{}")
                                             .build();
                             return retry(() -> table.commit(cancellation), deadlineMillis)
                                     .thenApply(ignored -> true);
                         });
     }
 
+    /** Reads the row of a job, which an earlier release may have accepted. */
+    private CompletionStage<Optional<Row>> readJob(JobId id, long deadlineMillis) {
+        return retry(() -> table.read(FleetRows.job(id)), deadlineMillis)
+                .thenCompose(
+                        row ->
+                                row.isPresent()
+                                        ? CompletableFuture.completedFuture(row)
+                                        : retry(
+                                                () -> table.read(FleetRows.jobOfEarlierRelease(id)),
+                                                deadlineMillis));
+    }
+
     /** Number of the queue's jobs of which nothing has started, as last published by the owner. */
     public CompletionStage<Integer> waitingJobs(QueueId queue, long deadlineMillis) {
         if (cachedWaiting != null && clock.nowMillis() - waitingReadMillis < WAITING_CACHE_MILLIS) {
@@ -190,7 +210,8 @@
                                     maybeCommittedBefore
                                             || error.kind() != ErrorKind.STORE_UNAVAILABLE;
                             if (calls >= MAX_ATTEMPTS
-                                    || clock.nowMillis() + RETRY_DELAY_MILLIS >= untilMillis) {
+                                    || clock.nowMillis() + RETRY_DELAY_MILLIS >= untilMillis
+                                    || !budget.tryRetry(clock.nowMillis())) {
                                 Logger.warn(
                                         "event=store_call_failed calls={} cause=\"{}\"",
                                         calls,
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/MeasuredTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/MeasuredTable.java
@@ -46,6 +46,7 @@
 
     @Override
     public CompletionStage<CommitResult> commit(Transaction transaction) {
+        metrics.transaction(transaction.mutations().get(0).key().partition());
         return measured("commit", table.commit(transaction));
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -65,6 +65,7 @@
     private final Lease lease;
     private final FleetScheduler scheduler;
     private final FleetOverview overview;
+    private final JobRows jobRows;
     private final EndedJobs endedJobs;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
@@ -97,6 +98,7 @@
         scheduler.setCrashListener(new CrashLogger());
         this.overview = new FleetOverview(scheduler);
         this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
+        this.jobRows = new JobRows(context.table());
         this.endedJobs =
                 new EndedJobs(
                         context.table(),
@@ -223,8 +225,7 @@
         if (ended) {
             return;
         }
-        context.table()
-                .snapshot(FleetRows.JOBS_PREFIX)
+        jobRows.read()
                 .thenCompose(
                         jobs ->
                                 context.table()
@@ -375,8 +376,7 @@
         if (ended) {
             return;
         }
-        context.table()
-                .snapshot(FleetRows.JOBS_PREFIX)
+        jobRows.read()
                 .whenComplete(
                         (jobs, failure) -> {
                             if (failure != null) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.FeedTable;
@@ -31,6 +33,10 @@
  * own route. A call without an available route fails immediately and is not sent. A transaction
  * that may have been committed is not retried on another route; its stage fails with
  * STORE_OUTCOME_UNKNOWN.
+ *
+ * <p>A call that is sent again after an error needs the retry budget of the instance; the first
+ * attempt of a call does not, also if it goes through a sibling. Calls for urgent tables do not
+ * need the budget, and are sent directly if no sibling is available.
  */
 public final class RelayedTable implements FeedTable {
     /** Maximum number of siblings to try for one call. Further retries are up to the caller. */
@@ -39,10 +45,21 @@
     private final FeedTable direct;
     private final EventLoop loop;
     private final TimeSource time;
+    private final Limits limits;
     private final Map<String, RouteEntry> routes = new HashMap<>();
     private final Map<InstanceId, RelayClient> clients = new HashMap<>();
     private final Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
 
+    /**
+     * Limits of the calls that are sent again.
+     *
+     * @param budget counts the calls of the instance; used on the event loop only
+     * @param urgentTables tables whose calls do not need the budget
+     * @param onRelayRefused runs when the store refused a sibling as well
+     */
+    public record Limits(
+            CallRetryBudget budget, Set<String> urgentTables, Runnable onRelayRefused) {}
+
     /** The route to one partition, or to the change feed of one table. */
     private static final class RouteEntry {
         final StoreRoute route = new StoreRoute();
@@ -60,18 +77,21 @@
      * One call to the store.
      *
      * @param idempotent whether the call may be sent again even if it may have been executed
+     * @param urgent whether the call does not need the retry budget
      */
     private record Call<T>(
             RouteEntry entry,
             Function<FeedTable, CompletionStage<T>> operation,
             boolean idempotent,
+            boolean urgent,
             CompletableFuture<T> result) {}
 
     /** Creates a table without siblings. */
-    public RelayedTable(FeedTable direct, EventLoop loop, TimeSource time) {
+    public RelayedTable(FeedTable direct, EventLoop loop, TimeSource time, Limits limits) {
         this.direct = direct;
         this.loop = loop;
         this.time = time;
+        this.limits = limits;
     }
 
     /** Replaces the addresses of the siblings' relay servers. */
@@ -103,35 +123,44 @@
         return routes.values().stream().anyMatch(entry -> entry.route.isUnavailableToAll(now));
     }
 
+    /** Whether this holds for the partition of the key or prefix. */
+    public boolean isUnavailableToAll(String key) {
+        return routeForKey(key).route.isUnavailableToAll(time.nowMillis());
+    }
+
     @Override
     public CompletionStage<Optional<Row>> read(RowKey key) {
-        return send(routeForKey(key.value()), table -> table.read(key), true);
+        return send(routeForKey(key.value()), key.value(), table -> table.read(key), true);
     }
 
     @Override
     public CompletionStage<List<Row>> scan(String prefix) {
-        return send(routeForKey(prefix), table -> table.scan(prefix), true);
+        return send(routeForKey(prefix), prefix, table -> table.scan(prefix), true);
     }
 
     @Override
     public CompletionStage<RowSnapshot> snapshot(String prefix) {
-        return send(routeForKey(prefix), table -> table.snapshot(prefix), true);
+        return send(routeForKey(prefix), prefix, table -> table.snapshot(prefix), true);
     }
 
     @Override
     public CompletionStage<Changes> changesAfter(String table, long version, int waitMillis) {
         return send(
-                routeForFeed(table), store -> store.changesAfter(table, version, waitMillis), true);
+                routeForFeed(table),
+                table,
+                store -> store.changesAfter(table, version, waitMillis),
+                true);
     }
 
+    /** Sends a transaction on the route of its first row's partition. */
     @Override
     public CompletionStage<CommitResult> commit(Transaction transaction) {
         String key = transaction.mutations().get(0).key().value();
-        return send(routeForKey(key), table -> table.commit(transaction), false);
+        return send(routeForKey(key), key, table -> table.commit(transaction), false);
     }
 
     private RouteEntry routeForKey(String key) {
-        return routeEntry("part " + partition(key), key);
+        return routeEntry("part " + new RowKey(key).partition(), key);
     }
 
     private RouteEntry routeForFeed(String table) {
@@ -148,28 +177,28 @@
                 });
     }
 
-    /** The second segment of a key. A transaction is routed by the partition of its first row. */
-    private static String partition(String key) {
-        String[] segments = key.split("/", 3);
-        return segments.length > 1 ? segments[1] : "";
-    }
-
     private <T> CompletionStage<T> send(
             RouteEntry entry,
+            String key,
             Function<FeedTable, CompletionStage<T>> operation,
             boolean idempotent) {
-        Call<T> call = new Call<>(entry, operation, idempotent, new CompletableFuture<>());
+        boolean urgent = limits.urgentTables().contains(key.split("/", 2)[0]);
+        Call<T> call = new Call<>(entry, operation, idempotent, urgent, new CompletableFuture<>());
+        limits.budget().countCall(time.nowMillis());
         probeIfDue(entry);
-        if (entry.route.isDirect()) {
+        Optional<InstanceId> sibling = entry.route.nextSibling(time.nowMillis());
+        if (sibling.isPresent()) {
+            sendThroughSibling(call, sibling.get(), 1);
+        } else if (entry.route.isDirect() || urgent) {
             sendDirectly(call);
-            return call.result();
+        } else {
+            call.result()
+                    .completeExceptionally(
+                            new QuetzalscaleException(
+                                    ErrorKind.STORE_UNAVAILABLE,
+                                    "the store responds neither to this instance nor to its"
+                                            + " siblings"));
         }
-        sendThroughSibling(
-                call,
-                0,
-                new QuetzalscaleException(
-                        ErrorKind.STORE_UNAVAILABLE,
-                        "the store responds neither to this instance nor to its siblings"));
         return call.result();
     }
 
@@ -183,52 +212,68 @@
                                 return;
                             }
                             onDirectFailure(call.entry(), failure);
-                            if (canRetry(call, failure)) {
-                                sendThroughSibling(call, 0, failure);
-                            } else {
-                                call.result().completeExceptionally(failure);
-                            }
+                            sendAgain(call, 0, failure);
                         });
     }
 
     /**
-     * Sends the call through the next sibling.
+     * Sends a call that failed through the next sibling, if it may be sent again.
      *
      * @param triedSiblings how many siblings have failed for this call
-     * @param failure the exception with which the call fails if no sibling is left
      */
-    private <T> void sendThroughSibling(Call<T> call, int triedSiblings, Throwable failure) {
-        Optional<InstanceId> sibling = call.entry().route.nextSibling(time.nowMillis());
-        if (triedSiblings == MAX_SIBLINGS || sibling.isEmpty()) {
+    private <T> void sendAgain(Call<T> call, int triedSiblings, Throwable failure) {
+        long now = time.nowMillis();
+        Optional<InstanceId> sibling = call.entry().route.nextSibling(now);
+        if (triedSiblings < MAX_SIBLINGS
+                && canRetry(call, failure)
+                && sibling.isPresent()
+                && (call.urgent() || limits.budget().tryRetry(now))) {
+            sendThroughSibling(call, sibling.get(), triedSiblings + 1);
+        } else {
             call.result().completeExceptionally(failure);
-            return;
         }
-        RelayClient client = clientFor(sibling.get());
+    }
+
+    /**
+     * Sends the call through a sibling.
+     *
+     * @param triedSiblings how many siblings were tried for this call, with this one
+     */
+    private <T> void sendThroughSibling(Call<T> call, InstanceId sibling, int triedSiblings) {
+        RelayClient client = clientFor(sibling);
+        call.entry().route.onSiblingCall(sibling, time.nowMillis());
         call.operation()
                 .apply(client)
                 .whenComplete(
-                        (value, siblingFailure) -> {
-                            if (completeIfAnswered(call, value, siblingFailure)) {
+                        (value, failure) -> {
+                            if (completeIfAnswered(call, value, failure)) {
+                                call.entry().route.onSiblingSuccess();
                                 return;
                             }
-                            Logger.info(
-                                    "event=relay_failed sibling={} part=\"{}\" cause=\"{}\"",
-                                    sibling.get(),
-                                    call.entry().name,
-                                    siblingFailure.getMessage());
                             // A sibling that cannot be reached has no open connection.
-                            boolean answered = client.isConnected();
-                            call.entry()
-                                    .route
-                                    .onSiblingFailure(sibling.get(), answered, time.nowMillis());
-                            if (canRetry(call, siblingFailure)) {
-                                sendThroughSibling(call, triedSiblings + 1, siblingFailure);
-                            } else {
-                                call.result().completeExceptionally(siblingFailure);
-                            }
+                            onSiblingFailure(call.entry(), sibling, client.isConnected(), failure);
+                            sendAgain(call, triedSiblings, failure);
                         });
     }
 
+    private void onSiblingFailure(
+            RouteEntry entry, InstanceId sibling, boolean answered, Throwable failure) {
+        long now = time.nowMillis();
+        boolean wasRefusedToAll = entry.route.isRefusedToAll(now);
+        Logger.info(
+                "event=relay_failed sibling={} part=\"{}\" cause=\"{}\"",
+                sibling,
+                entry.name,
+                failure.getMessage());
+        entry.route.onSiblingFailure(sibling, answered, now);
+        if (answered) {
+            limits.onRelayRefused().run();
+        }
+        if (!wasRefusedToAll && entry.route.isRefusedToAll(now)) {
+            Logger.warn("event=store_route part=\"{}\" way=none", entry.name);
+        }
+    }
+
     private static boolean canRetry(Call<?> call, Throwable failure) {
         return call.idempotent()
                 || QuetzalscaleException.from(failure).kind() == ErrorKind.STORE_UNAVAILABLE;
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -14,6 +14,7 @@
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.lease.OwnerPreference;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
@@ -148,7 +149,7 @@
             owner =
                     new OwnerService(
                             context(name, clock, table, process), policies, new OwnerPreference(1));
-            gateway = new JobGateway(table, clock, () -> false);
+            gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget());
             policies.start();
             owner.start();
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
@@ -16,6 +16,7 @@
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.FeedTable;
@@ -36,7 +37,8 @@
     private final ScriptedTable table = new ScriptedTable();
     private final LoopClock clock =
             new LoopClock(loop.executor(Runnable::run), loop::nowMillis, loop::nowMillis);
-    private final JobGateway gateway = new JobGateway(table, clock, () -> false);
+    private final JobGateway gateway =
+            new JobGateway(table, clock, () -> false, new CallRetryBudget());
     private final long deadlineMillis = loop.nowMillis() + DEADLINE_DELAY_MILLIS;
 
     /** A store without rows, which answers each call after a delay, or with an error. */
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
@@ -27,6 +27,7 @@
 import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.lease.OwnerPreference;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
@@ -58,7 +59,7 @@
     final EventLoopGroup group = EventLoops.create(1, "test");
     final LoopClock clock =
             new LoopClock(group.next(), TimeSource.system(), System::currentTimeMillis);
-    final JobGateway gateway = new JobGateway(table, clock, () -> false);
+    final JobGateway gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget());
 
     /** The policy watcher and owner service of one node. */
     final class Node {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerRowsTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerRowsTest.java
@@ -242,4 +242,36 @@
                 .hasToString("1");
         third.stop();
     }
+
+    /**
+     * Guards against jobs that are lost in a rolling upgrade: an earlier release accepted them in
+     * the partition of the owner, some with a cancellation there.
+     */
+    @Test
+    void servesJobsThatAnEarlierReleaseAccepted() {
+        JobId cancelled = new JobId("00000000000000b4");
+        for (JobId id : List.of(JOB, cancelled)) {
+            table.put(
+                    FleetRows.jobOfEarlierRelease(id).value(),
+                    JobRowCodecs.DEFINITION.encode(job(id)));
+        }
+        assertThat(phase()).contains(JobPhase.QUEUED);
+        assertThat(
+                        gateway.cancel(cancelled, clock.nowMillis() + 1_000)
+                                .toCompletableFuture()
+                                .join())
+                .isTrue();
+        Node node = new Node("node-1");
+        await("a recorded job", () -> worker.startsOf(FIRST) == 1);
+        submit();
+        JobId later = new JobId("00000000000000b3");
+        table.put(
+                FleetRows.jobOfEarlierRelease(later).value(),
+                JobRowCodecs.DEFINITION.encode(job(later)));
+        await("a job after it", () -> worker.startsOf(new TaskRef(later, 0, 0, 0)) == 1);
+
+        assertThat(worker.startsOf(FIRST)).isEqualTo(1);
+        assertThat(worker.startsOf(new TaskRef(cancelled, 0, 0, 0))).isZero();
+        node.stop();
+    }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
@@ -106,7 +106,7 @@
 
         @Override
         public CompletionStage<RowSnapshot> snapshot(String prefix) {
-            int extraMillis = prefix.equals(FleetRows.JOBS_PREFIX) ? jobReadMillis : 0;
+            int extraMillis = prefix.equals(FleetRows.SHARD_JOBS_PREFIX) ? jobReadMillis : 0;
             return call(extraMillis, () -> new RowSnapshot(rows(prefix), table.version()));
         }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -37,12 +39,19 @@
     private static final RowKey KEY = new RowKey("jobs/fleet/a");
     private static final InstanceId SIBLING = new InstanceId("node-2");
 
+    private volatile int refusedRelays;
     private final InMemoryTable rows = new InMemoryTable();
     private final StoreConnection ownConnection = new StoreConnection();
     private final StoreConnection siblingConnection = new StoreConnection();
     private final EventLoopGroup group = EventLoops.create(1, "test");
     private final EventLoop loop = group.next();
-    private final RelayedTable table = new RelayedTable(ownConnection, loop, TimeSource.system());
+    private final RelayedTable table =
+            new RelayedTable(
+                    ownConnection,
+                    loop,
+                    TimeSource.system(),
+                    new RelayedTable.Limits(
+                            new CallRetryBudget(), Set.of("lease"), () -> refusedRelays++));
     private volatile boolean siblingCanServe = true;
     private final RelayServer server =
             new RelayServer(
@@ -268,4 +277,37 @@
         assertThatThrownBy(() -> put("text")).isInstanceOf(Exception.class);
         assertThat(table.isUnavailableToAll()).as("another instance may reach the store").isFalse();
     }
+
+    /** Guards against calls that overload multiplies: a full store refuses siblings as well. */
+    @Test
+    void doesNotMultiplyCallsWhenTheStoreRefusesAll() {
+        ownConnection.errorKind = ErrorKind.STORE_UNAVAILABLE;
+        siblingConnection.errorKind = ErrorKind.STORE_UNAVAILABLE;
+        for (int i = 0; i < 50; i++) {
+            assertThatThrownBy(() -> put("text")).isInstanceOf(Exception.class);
+        }
+        assertThat(ownConnection.calls + siblingConnection.calls).isLessThan(10);
+        assertThat(refusedRelays).isEqualTo(siblingConnection.calls);
+    }
+
+    /** Guards against an instance that its siblings no longer help: only this one is refused. */
+    @Test
+    void helpsAnInstanceThatIsRefusedAloneWithEachCall() {
+        ownConnection.errorKind = ErrorKind.STORE_UNAVAILABLE;
+        for (int i = 0; i < 100; i++) {
+            assertThat(put("text").isCommitted()).isTrue();
+        }
+        assertThat(refusedRelays).isZero();
+    }
+
+    /** Guards against a lease that expires because other calls found the store full. */
+    @Test
+    void sendsUrgentCallsDirectlyWhenNoSiblingHelps() {
+        siblingCanServe = false;
+        RowKey lease = new RowKey("lease/fleet");
+        ownConnection.errorKind = ErrorKind.STORE_UNAVAILABLE;
+        assertThatThrownBy(() -> put("text")).isInstanceOf(Exception.class);
+        ownConnection.errorKind = null;
+        assertThat(call(() -> table.read(lease))).isEmpty();
+    }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.lease.OwnerPreference;
+import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.FeedTable;
@@ -80,7 +82,12 @@
                                 row("node-4", "127.0.0.1:4:1.5")));
         TimeSource time = TimeSource.system();
         LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
-        RelayedTable table = new RelayedTable(rows, group.next(), time);
+        RelayedTable table =
+                new RelayedTable(
+                        rows,
+                        group.next(),
+                        time,
+                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
         SiblingDirectory directory =
                 new SiblingDirectory(
                         new InstanceId("node-1"),
