Start jobs within the declared rate before excess

Cause: an organisation that sends several times its usual number of jobs takes the places of all others, because only its cap is enforced.

Excess starts after all jobs within the rate, by weighted max-min fairness over the dominant share in use. A new owner also decodes the rows of ended jobs, in the background, because they took tokens.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -16,6 +16,7 @@
     private final OrderSender orders;
     private final UnansweredStarts unansweredStarts;
     private final StepRanking ranking;
+    private final ExcessRanking excessRanking;
 
     /** Every run number of this owner is greater than this one. */
     private final long runBase;
@@ -25,11 +26,13 @@
             OrderSender orders,
             UnansweredStarts unansweredStarts,
             StepRanking ranking,
+            ExcessRanking excessRanking,
             long runBase) {
         this.fleet = fleet;
         this.orders = orders;
         this.unansweredStarts = unansweredStarts;
         this.ranking = ranking;
+        this.excessRanking = excessRanking;
         this.runBase = runBase;
     }
 
@@ -41,7 +44,7 @@
     void dispatch(FleetPolicy policy, long nowMillis, long epochMillis) {
         for (PoolId pool : fleet.activePools()) {
             List<StepRanking.Candidate> candidates =
-                    candidates(pool, policy, nowMillis, epochMillis);
+                    excessRanking.apply(candidates(pool, policy, nowMillis, epochMillis), policy);
             candidates.sort(StepRanking.DISPATCH_ORDER);
             for (StepRanking.Candidate candidate : candidates) {
                 startTasks(candidate.step(), pool, policy, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.task.JobPhase;
@@ -102,6 +103,40 @@
                 new JobView(job.definition.queue(), job.definition.pool(), phase(job), steps));
     }
 
+    /**
+     * Jobs of an organisation that have not ended and count against its rate.
+     *
+     * @param within jobs within the declared rate
+     * @param excess jobs beyond it
+     */
+    public record RateView(int within, int excess) {}
+
+    /** The jobs of each organisation that declares a rate, within it and beyond it. */
+    public Map<OrganisationId, RateView> rates() {
+        Map<OrganisationId, RateView> views = new TreeMap<>();
+        scheduler.policy().organisations().values().stream()
+                .filter(organisation -> organisation.rate() > 0)
+                .forEach(organisation -> views.put(organisation.id(), new RateView(0, 0)));
+        for (PoolId pool : fleet.activePools()) {
+            for (JobRun job : fleet.activeJobs(pool)) {
+                if (ExcessMarks.counts(job.definition)) {
+                    int excess = scheduler.excess().isExcess(job.definition.id()) ? 1 : 0;
+                    job.definition
+                            .organisation()
+                            .ifPresent(
+                                    id ->
+                                            views.computeIfPresent(
+                                                    id,
+                                                    (key, view) ->
+                                                            new RateView(
+                                                                    view.within() + 1 - excess,
+                                                                    view.excess() + excess)));
+                }
+            }
+        }
+        return views;
+    }
+
     private static JobPhase phase(JobRun job) {
         return job.phase == JobPhase.QUEUED && job.hasStarted() ? JobPhase.RUNNING : job.phase;
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -44,6 +44,7 @@
 
     private final FleetState fleet = new FleetState();
     private final RunTimeEstimator estimator = new RunTimeEstimator();
+    private final ExcessMarks excess = new ExcessMarks();
     private final JobLifecycle jobs;
     private final WorkerReportHandler reportHandler;
     private final CrashAttribution crashAttribution;
@@ -63,6 +64,7 @@
      */
     public FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase) {
         this.policy = policy;
+        excess.updatePolicy(policy);
         this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
         this.reportHandler = new WorkerReportHandler(fleet, orders, jobs);
         this.crashAttribution = new CrashAttribution(jobs);
@@ -70,7 +72,12 @@
         this.unansweredStarts = new UnansweredStarts(orders);
         this.dispatcher =
                 new Dispatcher(
-                        fleet, orders, unansweredStarts, new StepRanking(estimator), runBase);
+                        fleet,
+                        orders,
+                        unansweredStarts,
+                        new StepRanking(estimator),
+                        new ExcessRanking(fleet, excess),
+                        runBase);
         this.paceControl = new PaceControl(orders);
     }
 
@@ -82,6 +89,7 @@
     /** Replaces the configuration with a newer version. */
     public void updatePolicy(FleetPolicy newPolicy) {
         policy = newPolicy;
+        excess.updatePolicy(newPolicy);
     }
 
     /**
@@ -101,6 +109,23 @@
         JobRun job = new JobRun(definition, acceptedMillis);
         recorded.ifPresent(progress -> job.restore(progress, nowMillis));
         fleet.addJob(job);
+        excess.add(definition);
+    }
+
+    /**
+     * Acceptance time of the first job that counts against a rate in Unix milliseconds, at most the
+     * given time; empty if no organisation declares a rate.
+     */
+    public Optional<Long> firstAcceptedEpochMillis(long atMostEpochMillis) {
+        return excess.firstEpochMillis(atMostEpochMillis);
+    }
+
+    /**
+     * Adds a job that ended before this owner's term: it counts against the rate of its
+     * organisation.
+     */
+    public void addEndedJob(JobDefinition definition) {
+        excess.add(definition);
     }
 
     /**
@@ -389,6 +414,7 @@
     /** Removes a job whose rows were deleted. */
     public void removeJob(JobId id) {
         fleet.jobs.remove(id);
+        excess.remove(id);
     }
 
     /**
@@ -406,6 +432,10 @@
         return jobs;
     }
 
+    ExcessMarks excess() {
+        return excess;
+    }
+
     long epochMillis() {
         return epochMillis;
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/OrganisationPolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/OrganisationPolicy.java
@@ -8,9 +8,11 @@
  * Configured share and cap of an organisation.
  *
  * @param weight relative share when the fleet is fully used
+ * @param rate number of jobs per second that it declared; 0 if none is declared, so that no job of
+ *     it is beyond the rate
  * @param cap maximum resources of its running tasks over all pools; 0 means no limit
  */
-public record OrganisationPolicy(OrganisationId id, double weight, Resources cap) {
+public record OrganisationPolicy(OrganisationId id, double weight, double rate, Resources cap) {
     /** Rejects null components. */
     public OrganisationPolicy {
         Objects.requireNonNull(id, "id");
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
@@ -18,6 +18,8 @@
         LASTING,
         ON_TIME,
         LATE,
+        /** Jobs beyond the declared rate of their organisation, see {@link ExcessRanking}. */
+        EXCESS,
         FILLER
     }
 
@@ -25,7 +27,8 @@
      * A step with tasks to start.
      *
      * @param slackMillis how long the step can wait before its job misses the latency objective;
-     *     the remaining work of a late job; the due time of lasting and filler steps
+     *     the remaining work of a late job; the due time of lasting and filler steps; the weighted
+     *     share of its organisation for an excess step
      */
     record Candidate(StepRun step, Rank rank, int priority, double slackMillis) {}
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
@@ -36,7 +36,8 @@
                 Map.of(POOL, new PoolPolicy(POOL, false)),
                 Map.of(
                         ORGANISATION,
-                        new OrganisationPolicy(ORGANISATION, 1, new Resources(capCores, 0, 0, 0))),
+                        new OrganisationPolicy(
+                                ORGANISATION, 1, 0, new Resources(capCores, 0, 0, 0))),
                 Map.of());
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -66,6 +66,7 @@
     private final FleetScheduler scheduler;
     private final FleetOverview overview;
     private final EndedJobs endedJobs;
+    private final EndedJobHistory endedHistory;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
     private final OwnedRow waitingRow;
@@ -104,6 +105,7 @@
                         lease.fence(),
                         this,
                         context.times().statusRetention());
+        this.endedHistory = new EndedJobHistory(clock, this);
         this.recorder =
                 new ProgressRecorder(
                         context.table(),
@@ -274,6 +276,7 @@
         publishPeriodically();
         instanceController.start();
         endedJobs.deletePeriodically();
+        endedHistory.decode();
     }
 
     private void applyJobRow(RowKey key, long version, String value, RecordedProgress recorded) {
@@ -296,6 +299,7 @@
         Optional<JobProgress> known = recorded.of(id.get());
         if (known.filter(progress -> progress.phase().isFinal()).isPresent()) {
             endedJobs.add(id.get());
+            endedHistory.add(key, version, value);
             return;
         }
         if (FleetRows.isCancellation(key)) {
--- /dev/null
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
@@ -0,0 +1,75 @@
+package org.quetzalscale.daemon.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.OrganisationId;
+import org.quetzalscale.core.schedule.FleetOverview.RateView;
+import org.quetzalscale.core.schedule.OrganisationPolicy;
+import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.JobDefinition;
+import org.quetzalscale.core.task.Recurrence;
+import org.quetzalscale.core.task.RunEnd;
+
+/** An organisation that exceeds its rate while the owner changes. */
+final class ExcessTakeoverTest extends OwnerFixture {
+    private static final OrganisationId ORGANISATION = new OrganisationId("coop");
+    private static final int JOBS = 20;
+    private static final int ENDED = 4;
+    private static final int WITHIN_RATE = 6;
+    private static final RateView WAITING = new RateView(WITHIN_RATE - ENDED, JOBS - WITHIN_RATE);
+
+    private final long acceptedMillis = System.currentTimeMillis();
+
+    @Override
+    Map<OrganisationId, OrganisationPolicy> organisations() {
+        return Map.of(ORGANISATION, new OrganisationPolicy(ORGANISATION, 1, 1, Resources.NONE));
+    }
+
+    private JobDefinition numbered(int number) {
+        return new JobDefinition(
+                new JobId(String.format("%016x", number)),
+                QUEUE,
+                POOL,
+                Optional.of(ORGANISATION),
+                acceptedMillis,
+                "spec",
+                List.of(Steps.ending(1, 8, List.of())),
+                Recurrence.NONE);
+    }
+
+    private RateView rates(Node node) {
+        return onLoop(
+                () ->
+                        node.owner
+                                .term()
+                                .map(term -> term.overview().rates().get(ORGANISATION))
+                                .orElse(new RateView(0, 0)));
+    }
+
+    /**
+     * Guards against a new owner that forgets the ended jobs, and so finds more within the rate.
+     */
+    @Test
+    void comesToTheSameMarksAfterATakeover() {
+        Node first = new Node("node-1");
+        for (int number = JOBS; number >= 1; number--) {
+            submit(numbered(number));
+        }
+        for (int number = 1; number <= ENDED; number++) {
+            int job = number;
+            await("job " + number, () -> worker.starts.size() == job);
+            worker.end(worker.starts.get(job - 1).task(), RunEnd.DONE);
+        }
+        await("ends recorded", () -> worker.acknowledged() == ENDED);
+        await("marks of the first owner", () -> rates(first).equals(WAITING));
+        first.kill();
+
+        Node second = new Node("node-2");
+        await("takeover", second.owner::isOwner);
+        await("marks of the second owner", () -> rates(second).equals(WAITING));
+        second.stop();
+    }
+}
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
+import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
@@ -28,6 +29,7 @@
 import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.schedule.OrganisationPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
 import org.quetzalscale.core.share.Resources;
@@ -124,14 +126,19 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    static PolicyWatcher.OperatorRows operatorRows() {
+    /** The organisations of the configuration. */
+    Map<OrganisationId, OrganisationPolicy> organisations() {
+        return Map.of();
+    }
+
+    private PolicyWatcher.OperatorRows operatorRows() {
         FleetPolicy policy =
                 new FleetPolicy(
                         1,
                         List.of(),
                         Map.of(QUEUE, new QueuePolicy(QUEUE, POOL, 0, 3, 1.6, 600, true)),
                         Map.of(POOL, new PoolPolicy(POOL, false)),
-                        Map.of(),
+                        organisations(),
                         Map.of());
         return new PolicyWatcher.OperatorRows(
                 "op",
