--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -67,6 +67,7 @@
     private final FleetOverview overview;
     private final JobRows jobRows;
     private final EndedJobs endedJobs;
+    private final EndedJobHistory endedHistory;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
     private final OwnedRow waitingRow;
@@ -106,6 +107,7 @@
                         lease.fence(),
                         this,
                         context.times().statusRetention());
+        this.endedHistory = new EndedJobHistory(clock, this);
         this.recorder =
                 new ProgressRecorder(
                         context.table(),
@@ -275,6 +277,7 @@
         publishPeriodically();
         instanceController.start();
         endedJobs.deletePeriodically();
+        endedHistory.decode();
     }
 
     private void applyJobRow(RowKey key, long version, String value, RecordedProgress recorded) {
@@ -297,6 +300,7 @@
         Optional<JobProgress> known = recorded.of(id.get());
         if (known.filter(progress -> progress.phase().isFinal()).isPresent()) {
             endedJobs.add(id.get());
+            endedHistory.add(key, version, value);
             return;
         }
         if (FleetRows.isCancellation(key)) {
