Reserve capacity for the first step that does not fit

Tasks were placed on whatever was free. The first task of a step that did not fit ended the step's turn, and smaller tasks behind it took the capacity for as long as they arrived.

A profile of each worker's free capacity over time now gives the first blocked step of a pool a reservation.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -1,7 +1,9 @@
 package org.quetzalscale.core.schedule;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.share.Resources;
 import org.quetzalscale.core.task.Recurrence;
@@ -16,6 +18,10 @@
     private final OrderSender orders;
     private final UnansweredStarts unansweredStarts;
     private final StepRanking ranking;
+    private final RunForecast forecast;
+    private final LookAhead lookAhead;
+    private final Map<PoolId, PoolReservations> reservations = new HashMap<>();
+    private ReservationListener listener = ReservationListener.NONE;
 
     /** Every run number of this owner is greater than this one. */
     private final long runBase;
@@ -25,14 +31,24 @@
             OrderSender orders,
             UnansweredStarts unansweredStarts,
             StepRanking ranking,
+            RunForecast forecast,
+            LookAhead lookAhead,
             long runBase) {
         this.fleet = fleet;
         this.orders = orders;
         this.unansweredStarts = unansweredStarts;
         this.ranking = ranking;
+        this.forecast = forecast;
+        this.lookAhead = lookAhead;
         this.runBase = runBase;
     }
 
+    /** Reports reservations to the listener from now on. */
+    void setReservationListener(ReservationListener newListener) {
+        listener = newListener;
+        reservations.clear();
+    }
+
     /**
      * Sends the starts of all tasks that can be placed now.
      *
@@ -43,12 +59,26 @@
             List<StepRanking.Candidate> candidates =
                     candidates(pool, policy, nowMillis, epochMillis);
             candidates.sort(StepRanking.DISPATCH_ORDER);
+            PoolTurn turn = beginTurn(pool, nowMillis);
             for (StepRanking.Candidate candidate : candidates) {
-                startTasks(candidate.step(), pool, policy, nowMillis);
+                StepRun step = candidate.step();
+                if (step.job.isReady(step)) {
+                    startTasks(step, turn, policy, nowMillis);
+                } else {
+                    addBlocked(step, step.tasks, readyMillis(step, nowMillis), turn, policy);
+                }
             }
+            turn.end();
         }
     }
 
+    private PoolTurn beginTurn(PoolId pool, long nowMillis) {
+        PoolReservations ofPool =
+                reservations.computeIfAbsent(
+                        pool, id -> new PoolReservations(lookAhead, forecast, listener));
+        return new PoolTurn(fleet.workersOf(pool), ofPool, forecast, lookAhead, nowMillis);
+    }
+
     private List<StepRanking.Candidate> candidates(
             PoolId pool, FleetPolicy policy, long nowMillis, long epochMillis) {
         List<StepRanking.Candidate> found = new ArrayList<>();
@@ -65,7 +95,7 @@
                 }
                 long due = recurrence.count() == 0 ? job.acceptedMillis : nowMillis;
                 for (StepRun step : job.steps(occurrence)) {
-                    if (hasStartableTask(step, nowMillis) && job.isReady(step)) {
+                    if (hasStartableTask(step, nowMillis) && isReadySoon(step, nowMillis)) {
                         found.add(ranking.candidate(step, queue, due, nowMillis));
                     }
                 }
@@ -87,57 +117,118 @@
         return task.state == TrackedTask.State.WAITING && nowMillis >= task.retryAtMillis;
     }
 
-    private void startTasks(StepRun step, PoolId pool, FleetPolicy policy, long nowMillis) {
+    /** Whether the step is ready, or its earlier steps are expected to end soon. */
+    private boolean isReadySoon(StepRun step, long nowMillis) {
+        if (step.job.isReady(step)) {
+            return true;
+        }
+        return lookAhead.nextStepMillis() > 0
+                && readyMillis(step, nowMillis) - nowMillis <= lookAhead.nextStepMillis();
+    }
+
+    private long readyMillis(StepRun step, long nowMillis) {
+        long ready = nowMillis;
+        for (int earlier : step.definition.after()) {
+            StepRun before = step.job.steps(step.occurrence).get(earlier);
+            ready = Math.max(ready, forecast.doneMillis(before, nowMillis));
+        }
+        return ready;
+    }
+
+    private void startTasks(StepRun step, PoolTurn turn, FleetPolicy policy, long nowMillis) {
+        List<TrackedTask> startable =
+                step.tasks.stream().filter(task -> canStart(task, nowMillis)).toList();
         if (step.definition.gang()) {
-            startGang(step, pool, policy, nowMillis);
+            if (startable.size() == step.tasks.size()) {
+                startGang(step, turn, policy, nowMillis);
+            }
             return;
         }
-        for (TrackedTask task : step.tasks) {
-            if (!canStart(task, nowMillis)) {
-                continue;
-            }
-            if (!placeTask(task, pool, policy, nowMillis)) {
+        for (int index = 0; index < startable.size(); index++) {
+            TrackedTask task = startable.get(index);
+            WorkerState worker = placeTask(task, turn, policy, nowMillis);
+            if (worker == null) {
+                List<TrackedTask> rest = startable.subList(index, startable.size());
+                addBlocked(step, rest, nowMillis, turn, policy);
                 return;
             }
             task.run = Math.max(task.run, runBase) + 1;
             sendStart(task, nowMillis);
+            turn.recordStart(task, worker);
         }
     }
 
     /** Starts either all tasks of the step, with the same run number, or none of them. */
-    private void startGang(StepRun step, PoolId pool, FleetPolicy policy, long nowMillis) {
-        List<TrackedTask> placed = new ArrayList<>();
+    private void startGang(StepRun step, PoolTurn turn, FleetPolicy policy, long nowMillis) {
+        List<WorkerState> workers = new ArrayList<>();
         long run = runBase;
         String checkpoint = "";
         for (TrackedTask task : step.tasks) {
-            if (!canStart(task, nowMillis) || !placeTask(task, pool, policy, nowMillis)) {
-                placed.forEach(member -> fleet.unassign(member, nowMillis));
+            WorkerState worker = placeTask(task, turn, policy, nowMillis);
+            if (worker == null) {
+                step.tasks
+                        .subList(0, workers.size())
+                        .forEach(member -> fleet.unassign(member, nowMillis));
+                addBlocked(step, step.tasks, nowMillis, turn, policy);
                 return;
             }
-            placed.add(task);
+            workers.add(worker);
             run = Math.max(run, task.run);
             checkpoint = task.checkpoint.isEmpty() ? checkpoint : task.checkpoint;
         }
-        for (TrackedTask task : placed) {
+        for (int index = 0; index < workers.size(); index++) {
+            TrackedTask task = step.tasks.get(index);
             task.run = run + 1;
             task.checkpoint = checkpoint;
             sendStart(task, nowMillis);
+            turn.recordStart(task, workers.get(index));
+        }
+    }
+
+    /**
+     * Makes capacity wait for tasks that do not fit. Tasks beyond the cap of their organisation are
+     * left out, because they could not use it.
+     */
+    private void addBlocked(
+            StepRun step,
+            List<TrackedTask> tasks,
+            long readyMillis,
+            PoolTurn turn,
+            FleetPolicy policy) {
+        int permitted = permittedTasks(step, tasks.size(), policy);
+        if (permitted == tasks.size() || permitted > 0 && !step.definition.gang()) {
+            turn.addBlocked(tasks.get(0), permitted, readyMillis);
+        }
+    }
+
+    private int permittedTasks(StepRun step, int tasks, FleetPolicy policy) {
+        int permitted = 0;
+        while (permitted < tasks
+                && fleet.usage.permits(
+                        policy,
+                        step.job.definition.organisation(),
+                        step.definition.need().times(permitted + 1))) {
+            permitted++;
         }
+        return permitted;
     }
 
-    private boolean placeTask(TrackedTask task, PoolId pool, FleetPolicy policy, long nowMillis) {
+    /**
+     * Assigns the task to the best worker and returns that, or returns null if none can take it.
+     */
+    private WorkerState placeTask(
+            TrackedTask task, PoolTurn turn, FleetPolicy policy, long nowMillis) {
         JobRun job = task.step.job;
         Resources need = task.step.definition.need();
         if (!fleet.usage.permits(policy, job.definition.organisation(), need)) {
-            return false;
+            return null;
         }
-        WorkerState worker = Placement.choose(task, fleet.workersOf(pool), nowMillis);
-        if (worker == null) {
-            return false;
+        WorkerState worker = turn.choose(task);
+        if (worker != null) {
+            fleet.assign(task, worker, TrackedTask.State.STARTING, nowMillis);
+            task.lastProgressMillis = nowMillis;
         }
-        fleet.assign(task, worker, TrackedTask.State.STARTING, nowMillis);
-        task.lastProgressMillis = nowMillis;
-        return true;
+        return worker;
     }
 
     private void sendStart(TrackedTask task, long nowMillis) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -62,6 +62,10 @@
      * @param runBase the highest run number that an earlier owner may have used
      */
     public FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase) {
+        this(policy, orders, runBase, LookAhead.FIRST_STEP);
+    }
+
+    FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase, LookAhead lookAhead) {
         this.policy = policy;
         this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
         this.reportHandler = new WorkerReportHandler(fleet, orders, jobs);
@@ -70,7 +74,13 @@
         this.unansweredStarts = new UnansweredStarts(orders);
         this.dispatcher =
                 new Dispatcher(
-                        fleet, orders, unansweredStarts, new StepRanking(estimator), runBase);
+                        fleet,
+                        orders,
+                        unansweredStarts,
+                        new StepRanking(estimator),
+                        new RunForecast(estimator),
+                        lookAhead,
+                        runBase);
         this.paceControl = new PaceControl(orders);
     }
 
@@ -79,6 +89,11 @@
         crashAttribution.setListener(listener);
     }
 
+    /** Reports reservations of capacity to the listener from now on. */
+    public void setReservationListener(ReservationListener listener) {
+        dispatcher.setReservationListener(listener);
+    }
+
     /** Replaces the configuration with a newer version. */
     public void updatePolicy(FleetPolicy newPolicy) {
         policy = newPolicy;
--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -1,14 +1,16 @@
 package org.quetzalscale.core.schedule;
 
 import java.util.Collection;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.quetzalscale.core.task.StepDefinition;
 
 /**
  * Chooses the worker for a task. The worker must have the capacity and the required label; workers
- * on the rack of the task's data and with more free processors score higher, and the worker where
- * the task failed last, suspect workers and cold ones score lower. A task under which a worker has
- * crashed is kept apart from other tasks if possible: it must not take their work down with it, and
- * the next crash has to tell whether it is the cause.
+ * on the rack of the task's data score higher, and so do those of the {@link #SPREAD} or {@link
+ * #PACKED} preference; the worker where the task failed last, suspect workers and cold ones score
+ * lower. A task under which a worker has crashed is kept apart from other tasks if possible: it
+ * must not take their work down with it, and the next crash has to tell whether it is the cause.
  */
 final class Placement {
     private static final double DATA_RACK_BONUS = 2;
@@ -28,18 +30,38 @@
     /** For each other task on the worker of a suspect. Outweighs the rack of its data. */
     private static final double CRASH_SUSPECT_NEIGHBOR_PENALTY = 3;
 
+    /** Prefers the emptiest workers, so that the end of one of them stops few tasks. */
+    static final ToDoubleFunction<WorkerState> SPREAD = WorkerState::freeCoreFraction;
+
+    /** Keeps the score of a worker with up to 100 cores below every penalty. */
+    private static final double CORES_PER_POINT = 100;
+
+    /** Prefers the workers with the fewest free processors, so that large tasks find room. */
+    static final ToDoubleFunction<WorkerState> PACKED =
+            worker -> -worker.freeCores() / CORES_PER_POINT;
+
     private Placement() {}
 
     /** Returns the worker with the best score, or null if none can take the task now. */
     static WorkerState choose(TrackedTask task, Collection<WorkerState> workers, long nowMillis) {
+        return choose(task, workers, worker -> true, SPREAD, nowMillis);
+    }
+
+    /** The same among the permitted workers, with another preference than the emptiest. */
+    static WorkerState choose(
+            TrackedTask task,
+            Collection<WorkerState> workers,
+            Predicate<WorkerState> permitted,
+            ToDoubleFunction<WorkerState> preference,
+            long nowMillis) {
         WorkerState best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (WorkerState worker : workers) {
             if (!canRun(task, worker, nowMillis)) {
                 continue;
             }
-            double score = score(task, worker);
-            if (score > bestScore) {
+            double score = score(task, worker, preference);
+            if (score > bestScore && permitted.test(worker)) {
                 best = worker;
                 bestScore = score;
             }
@@ -49,7 +71,15 @@
 
     private static boolean canRun(TrackedTask task, WorkerState worker, long nowMillis) {
         StepDefinition step = task.step.definition;
-        if (!worker.acceptsTasks(nowMillis) || !worker.hasCapacityFor(step.reserved())) {
+        if (!worker.hasCapacityFor(step.reserved()) || !isEligible(task, worker, nowMillis)) {
+            return false;
+        }
+        return step.maxPerWorker() == 0 || worker.tasksOf(task.step) < step.maxPerWorker();
+    }
+
+    /** Whether the worker can take the task as soon as it has the capacity. */
+    static boolean isEligible(TrackedTask task, WorkerState worker, long nowMillis) {
+        if (!worker.acceptsTasks(nowMillis)) {
             return false;
         }
         if (worker.isSuspect() && !worker.tasks.isEmpty()) {
@@ -60,15 +90,16 @@
                 && worker.runsStrongCrashSuspectBeside(task.step.job)) {
             return false;
         }
-        if (step.requiredLabel().isPresent()
-                && !worker.entry.labels().contains(step.requiredLabel().get())) {
-            return false;
-        }
-        return step.maxPerWorker() == 0 || worker.tasksOf(task.step) < step.maxPerWorker();
+        return task.step
+                .definition
+                .requiredLabel()
+                .filter(label -> !worker.entry.labels().contains(label))
+                .isEmpty();
     }
 
-    private static double score(TrackedTask task, WorkerState worker) {
-        double score = worker.freeCoreFraction();
+    private static double score(
+            TrackedTask task, WorkerState worker, ToDoubleFunction<WorkerState> preference) {
+        double score = preference.applyAsDouble(worker);
         if (task.step.definition.dataRack().filter(worker.entry.rack()::equals).isPresent()) {
             score += DATA_RACK_BONUS;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -92,10 +92,14 @@
         return total.fitsIn(entry.capacity());
     }
 
+    double freeCores() {
+        return entry.capacity().cores() - used.cores();
+    }
+
     /** Fraction of the worker's processors that is free, 0 to 1. */
     double freeCoreFraction() {
         double cores = entry.capacity().cores();
-        return cores <= 0 ? 0 : (cores - used.cores()) / cores;
+        return cores <= 0 ? 0 : freeCores() / cores;
     }
 
     boolean hasLastingTasks() {
