--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -63,6 +63,10 @@
      * @param runBase the highest run number that an earlier owner may have used
      */
     public FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase) {
+        this(policy, orders, runBase, LookAhead.FIRST_STEP);
+    }
+
+    FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase, LookAhead lookAhead) {
         this.policy = policy;
         excess.updatePolicy(policy);
         this.jobs = new JobLifecycle(fleet, orders, estimator, this::policy);
@@ -77,6 +81,8 @@
                         unansweredStarts,
                         new StepRanking(estimator),
                         new ExcessRanking(fleet, excess),
+                        new RunForecast(estimator),
+                        lookAhead,
                         runBase);
         this.paceControl = new PaceControl(orders);
     }
@@ -86,6 +92,11 @@
         crashAttribution.setListener(listener);
     }
 
+    /** Reports reservations of capacity to the listener from now on. */
+    public void setReservationListener(ReservationListener listener) {
+        dispatcher.setReservationListener(listener);
+    }
+
     /** Replaces the configuration with a newer version. */
     public void updatePolicy(FleetPolicy newPolicy) {
         policy = newPolicy;
