--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -65,6 +65,7 @@
             PoolTurn turn = beginTurn(pool, nowMillis);
             for (StepRanking.Candidate candidate : candidates) {
                 StepRun step = candidate.step();
+                turn.beginStep(candidate.rank());
                 if (step.job.isReady(step)) {
                     startTasks(step, turn, policy, nowMillis);
                 } else {
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolTurn.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolTurn.java
@@ -11,6 +11,7 @@
     private final long nowMillis;
     private final ToDoubleFunction<WorkerState> finitePreference;
     private final UnfitNeeds unfit = new UnfitNeeds();
+    private boolean mayReserve;
 
     PoolTurn(
             Collection<WorkerState> workers,
@@ -27,6 +28,14 @@
         this.finitePreference = packed ? Placement.PACKED : Placement.SPREAD;
     }
 
+    /**
+     * Offers the workers to the next step. Excess of an organisation gets no reservation: kept
+     * capacity would count for none of the organisations that share what is left.
+     */
+    void beginStep(StepRanking.Rank rank) {
+        mayReserve = rank != StepRanking.Rank.EXCESS;
+    }
+
     /**
      * Returns the best worker for the task, or null if none can take it without delaying a step
      * with a reservation.
@@ -38,7 +47,7 @@
         }
         boolean bound = false;
         ToDoubleFunction<WorkerState> preference =
-                task.step.definition.lasting() ? Placement.SPREAD : finitePreference;
+                task.step.definition.lasting() || !mayReserve ? Placement.SPREAD : finitePreference;
         WorkerState worker =
                 Placement.choose(task, workers, candidate -> true, preference, nowMillis);
         if (worker != null && reservations.bind()) {
@@ -79,7 +88,9 @@
 
     /** Records that tasks of a step do not fit. */
     void addBlocked(TrackedTask sample, int tasks, long readyMillis) {
-        reservations.addBlocked(sample, tasks, readyMillis);
+        if (mayReserve) {
+            reservations.addBlocked(sample, tasks, readyMillis);
+        }
     }
 
     /** Records that a task has started on the worker. */
