--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -71,7 +71,8 @@
 
     private static boolean canRun(TrackedTask task, WorkerState worker, long nowMillis) {
         StepDefinition step = task.step.definition;
-        if (!worker.hasCapacityFor(step.reserved()) || !isEligible(task, worker, nowMillis)) {
+        if (!WorkerUse.hasRoomFor(worker, step, nowMillis)
+                || !isEligible(task, worker, nowMillis)) {
             return false;
         }
         return step.maxPerWorker() == 0 || worker.tasksOf(task.step) < step.maxPerWorker();
@@ -79,7 +80,7 @@
 
     /** Whether the worker can take the task as soon as it has the capacity. */
     static boolean isEligible(TrackedTask task, WorkerState worker, long nowMillis) {
-        if (!worker.acceptsTasks(nowMillis)) {
+        if (!WorkerUse.acceptsNewTasks(worker, nowMillis)) {
             return false;
         }
         if (worker.isSuspect() && !worker.tasks.isEmpty()) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/ReactiveNeeds.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/ReactiveNeeds.java
@@ -33,6 +33,7 @@
     double minimum(PoolId pool, PoolDemand.Cores cores) {
         long lastingWorkers =
                 scheduler.fleet().workersOf(pool).stream()
+                        .filter(WorkerUse::countsInPool)
                         .filter(WorkerState::hasLastingTasks)
                         .count();
         return Math.max(lastingWorkers, cores.sum() > 0 ? 1 : 0);
