Merge the submissions of an instance into one transaction per partition

Each submission was a transaction of its own with its own retries, so a slow partition got as many transactions as callers and attempts, and callers at their deadline were told that the outcome was unknown even when nothing had been sent.

SubmissionBatcher keeps one transaction in flight for each partition and sends what arrives meanwhile in the next one, within the store's limits. Existing rows are accepted and the others are sent again; a transaction names all rows whose conditions failed.

--- a/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
+++ b/core/src/main/java/org/quetzalscale/core/table/InMemoryTable.java
@@ -50,13 +50,13 @@
     public CompletionStage<CommitResult> commit(Transaction transaction) {
         lock.lock();
         try {
-            for (Condition condition : transaction.conditions()) {
-                Row row = rows.get(condition.key());
-                long present = row == null ? Condition.ABSENT : row.version();
-                if (present != condition.version()) {
-                    return CompletableFuture.completedFuture(
-                            CommitResult.conflict(condition.key()));
-                }
+            List<RowKey> conflicts =
+                    transaction.conditions().stream()
+                            .filter(condition -> !holds(condition))
+                            .map(Condition::key)
+                            .toList();
+            if (!conflicts.isEmpty()) {
+                return CompletableFuture.completedFuture(CommitResult.conflicts(conflicts));
             }
             version++;
             transaction.mutations().forEach(this::apply);
@@ -76,6 +76,11 @@
         }
     }
 
+    private boolean holds(Condition condition) {
+        Row row = rows.get(condition.key());
+        return condition.version() == (row == null ? Condition.ABSENT : row.version());
+    }
+
     private void apply(Mutation mutation) {
         if (mutation.value().isEmpty()) {
             rows.remove(mutation.key());
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -49,6 +49,13 @@
                     "quetzalscale_fleet_store_transactions_total",
                     "Transactions sent to the store, by the partition of their first row",
                     "part");
+    private final Histogram submissions =
+            Histogram.builder()
+                    .name("quetzalscale_fleet_submissions_per_transaction")
+                    .help("Submissions that were recorded in one transaction")
+                    .classicOnly()
+                    .classicUpperBounds(1, 2, 5, 10, 20, SubmissionBatcher.MAX_SUBMISSIONS)
+                    .register(registry);
     private final Counter refusedRelays =
             counter(
                     "quetzalscale_fleet_refused_relays_total",
@@ -84,6 +91,11 @@
         storeTransactions.labelValues(partition).inc();
     }
 
+    /** Records the number of submissions in a transaction. */
+    public void submissions(long count) {
+        submissions.observe(count);
+    }
+
     /** Counts a call through a sibling that the store refused as well. */
     public void relayRefused() {
         refusedRelays.inc();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
@@ -28,10 +29,10 @@
  * it may have been.
  */
 public final class JobGateway {
-    private static final long RETRY_DELAY_MILLIS = 60;
+    static final long RETRY_DELAY_MILLIS = 60;
 
     /** Attempts after which the caller gets an error, so that it can try another instance. */
-    private static final int MAX_ATTEMPTS = 3;
+    static final int MAX_ATTEMPTS = 3;
 
     /** Time limit for all attempts of a call. */
     private static final long MAX_RETRY_MILLIS = 900;
@@ -49,6 +50,7 @@
     private final BooleanSupplier storeUnavailableToAll;
     private final CallRetryBudget budget;
     private final OutageBackoff backoff = new OutageBackoff();
+    private final SubmissionBatcher submissions;
     private JsonNode cachedWaiting;
     private long waitingReadMillis;
 
@@ -57,13 +59,16 @@
      *
      * @param storeUnavailableToAll whether, as far as is known, no instance reaches the store
      * @param budget permits the repeated calls of the instance
+     * @param onSubmissions receives the number of submissions of each transaction
      */
     public JobGateway(
             FeedTable table,
             LoopClock clock,
             BooleanSupplier storeUnavailableToAll,
-            CallRetryBudget budget) {
+            CallRetryBudget budget,
+            LongConsumer onSubmissions) {
         this.budget = budget;
+        this.submissions = new SubmissionBatcher(table, clock, budget, backoff, onSubmissions);
         this.storeUnavailableToAll = storeUnavailableToAll;
         this.table = table;
         this.clock = clock;
@@ -75,12 +80,12 @@
      * @param deadlineMillis when the caller stops waiting, on the monotonic clock
      */
     public CompletionStage<Void> submit(JobDefinition job, long deadlineMillis) {
-        Transaction insertion =
-                Transaction.builder()
-                        .insert(FleetRows.job(job.id()), JobRowCodecs.DEFINITION.encode(job))
-                        .build();
-        return retry(() -> table.commit(insertion).thenApply(result -> null), deadlineMillis)
-                .thenApply(result -> null);
+        long now = clock.nowMillis();
+        return submissions.insert(
+                FleetRows.job(job.id()),
+                JobRowCodecs.DEFINITION.encode(job),
+                Math.min(deadlineMillis, now + MAX_RETRY_MILLIS),
+                Math.max(deadlineMillis, now + MIN_RESPONSE_MILLIS));
     }
 
     /** The state of a job; empty if there is no such job. */
@@ -217,7 +222,9 @@
                                         calls,
                                         error.getMessage());
                                 result.completeExceptionally(
-                                        maybeCommitted ? asOutcomeUnknown(error) : error);
+                                        maybeCommitted
+                                                ? StoreFailures.asOutcomeUnknown(error)
+                                                : error);
                                 return;
                             }
                             clock.after(
@@ -231,11 +238,4 @@
                                                     maybeCommitted));
                         });
     }
-
-    private static QuetzalscaleException asOutcomeUnknown(QuetzalscaleException error) {
-        return error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
-                ? error
-                : new QuetzalscaleException(
-                        ErrorKind.STORE_OUTCOME_UNKNOWN, error.getMessage(), error);
-    }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/StoreFailures.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/StoreFailures.java
@@ -16,6 +16,14 @@
         return QuetzalscaleException.from(failure).kind() == ErrorKind.REVISION_TOO_OLD;
     }
 
+    /** The error for a call that may have been carried out by one of its attempts. */
+    static QuetzalscaleException asOutcomeUnknown(QuetzalscaleException error) {
+        return error.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
+                ? error
+                : new QuetzalscaleException(
+                        ErrorKind.STORE_OUTCOME_UNKNOWN, error.getMessage(), error);
+    }
+
     /**
      * The decoded value of a row; empty, with a log line, if the row is invalid, such as one of
      * another writer.
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -149,7 +149,7 @@
             owner =
                     new OwnerService(
                             context(name, clock, table, process), policies, new OwnerPreference(1));
-            gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget());
+            gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
             policies.start();
             owner.start();
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
@@ -38,7 +38,7 @@
     private final LoopClock clock =
             new LoopClock(loop.executor(Runnable::run), loop::nowMillis, loop::nowMillis);
     private final JobGateway gateway =
-            new JobGateway(table, clock, () -> false, new CallRetryBudget());
+            new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
     private final long deadlineMillis = loop.nowMillis() + DEADLINE_DELAY_MILLIS;
 
     /** A store without rows, which answers each call after a delay, or with an error. */
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
@@ -59,7 +59,8 @@
     final EventLoopGroup group = EventLoops.create(1, "test");
     final LoopClock clock =
             new LoopClock(group.next(), TimeSource.system(), System::currentTimeMillis);
-    final JobGateway gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget());
+    final JobGateway gateway =
+            new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
 
     /** The policy watcher and owner service of one node. */
     final class Node {
