Test that maintenance counts only workers outside evacuated zones

The part of a pool that may be in maintenance is calculated without the workers of evacuated zones, and nothing checked it: a later change could let a wave take what an evacuation left of a pool. The test fails if WorkerUse ignores evacuated zones.

--- a/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -102,6 +102,24 @@
             assertThat(planner.plan(now)).isEmpty();
         }
 
+        /**
+         * Guards against maintenance that takes what an evacuation left of a pool, and against idle
+         * instances of the evacuated zone that wait for it.
+         */
+        @Test
+        void countOnlyWorkersOutsideEvacuatedZones() {
+            MaintenancePlanner planner = planner(6, 1, 2, 3, 4, 5, 6);
+            for (int worker = 4; worker <= WORKERS; worker++) {
+                scheduler.registerWorker(Samples.inZone(worker, Samples.OTHER_ZONE, 0), now);
+            }
+            scheduler.updateEvacuatedZones(Set.of(Samples.OTHER_ZONE));
+            planner.updateInstances(allUp(), now, now);
+
+            assertThat(planner.plan(now))
+                    .hasSize(4)
+                    .contains(instance(4), instance(5), instance(6));
+        }
+
         /** Guards against two maintenance orders that together exceed the budget of a step. */
         @Test
         void keepLastingTasksWithinTheirBudget() {
