Leave out the jobs with the most work at overload

With more work than a pool can serve on time, least slack first made one job after the other late, and a reservation for a large job made small ones late as well.

Each plan now selects the jobs that can be on time by the method of Moore and Hodgson, on core milliseconds against the processors that running tasks leave. Jobs that are left out rank between those on time and the late ones, and return with a margin of a quarter. The largest tenth of a queue is left out last while it is on time much less often than the queue. Reservations are logged and counted.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -21,6 +21,7 @@
     private final RunForecast forecast;
     private final LookAhead lookAhead;
     private final Map<PoolId, PoolReservations> reservations = new HashMap<>();
+    private final Map<PoolId, OnTimeSelection> selections = new HashMap<>();
     private ReservationListener listener = ReservationListener.NONE;
 
     /** Every run number of this owner is greater than this one. */
@@ -58,6 +59,9 @@
         for (PoolId pool : fleet.activePools()) {
             List<StepRanking.Candidate> candidates =
                     candidates(pool, policy, nowMillis, epochMillis);
+            if (lookAhead.selectsOnTime()) {
+                selection(pool).apply(candidates, fleet.workersOf(pool), nowMillis);
+            }
             candidates.sort(StepRanking.DISPATCH_ORDER);
             PoolTurn turn = beginTurn(pool, nowMillis);
             for (StepRanking.Candidate candidate : candidates) {
@@ -72,6 +76,10 @@
         }
     }
 
+    private OnTimeSelection selection(PoolId pool) {
+        return selections.computeIfAbsent(pool, id -> new OnTimeSelection(forecast));
+    }
+
     private PoolTurn beginTurn(PoolId pool, long nowMillis) {
         PoolReservations ofPool =
                 reservations.computeIfAbsent(
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
@@ -17,6 +17,8 @@
     enum Rank {
         LASTING,
         ON_TIME,
+        /** Could meet the objective, but {@link OnTimeSelection} leaves the job out. */
+        DEFERRED,
         LATE,
         FILLER
     }
@@ -27,7 +29,11 @@
      * @param slackMillis how long the step can wait before its job misses the latency objective;
      *     the remaining work of a late job; the due time of lasting and filler steps
      */
-    record Candidate(StepRun step, Rank rank, int priority, double slackMillis) {}
+    record Candidate(StepRun step, Rank rank, int priority, double slackMillis) {
+        Candidate withRank(Rank other) {
+            return new Candidate(step, other, priority, slackMillis);
+        }
+    }
 
     static final Comparator<Candidate> DISPATCH_ORDER =
             Comparator.comparing(Candidate::rank)
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolReservationsTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolReservationsTest.java
@@ -29,6 +29,8 @@
 
     @BeforeEach
     void fillTheWorker() {
+        LookAhead withoutSelection = new LookAhead(1, 100, 0.6, false);
+        scheduler = new FleetScheduler(Samples.policy(NO_CAP), orders, 0, withoutSelection);
         scheduler.setReservationListener(new EventRecorder());
         addWorker(1);
         addTasks(1, 1, 8, 300);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -44,6 +44,15 @@
                     "quetzalscale_fleet_refusals_total",
                     "Requests of callers that were refused, by reason",
                     "kind");
+    private final Counter reservations =
+            counter(
+                    "quetzalscale_fleet_reservations_total",
+                    "Reservations of capacity for steps that do not fit yet, by event",
+                    "event");
+    private final Counter backfilledStarts =
+            counter(
+                    "quetzalscale_fleet_backfilled_starts_total",
+                    "Starts on reserved capacity of tasks that end before it is needed");
     private final Gauge owner =
             Gauge.builder()
                     .name("quetzalscale_fleet_owner")
@@ -80,6 +89,16 @@
         runEnds.labelValues(end).inc();
     }
 
+    /** Counts what happened to a reservation. */
+    public void reservation(String event) {
+        reservations.labelValues(event).inc();
+    }
+
+    /** Counts a start on reserved capacity. */
+    public void backfilledStart() {
+        backfilledStarts.inc();
+    }
+
     /** Sets whether this instance owns the fleet. */
     public void owner(boolean owns) {
         owner.set(owns ? 1 : 0);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -95,6 +95,7 @@
                         this,
                         lease.generation() * RUNS_PER_GENERATION);
         scheduler.setCrashListener(new CrashLogger());
+        scheduler.setReservationListener(new ReservationLogger(context.metrics()));
         this.overview = new FleetOverview(scheduler);
         this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
         this.endedJobs =
