--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
@@ -17,6 +17,8 @@
     enum Rank {
         LASTING,
         ON_TIME,
+        /** Could meet the objective, but {@link OnTimeSelection} leaves the job out. */
+        DEFERRED,
         LATE,
         /** Jobs beyond the declared rate of their organisation, see {@link ExcessRanking}. */
         EXCESS,
@@ -30,7 +32,11 @@
      *     the remaining work of a late job; the due time of lasting and filler steps; the weighted
      *     share of its organisation for an excess step
      */
-    record Candidate(StepRun step, Rank rank, int priority, double slackMillis) {}
+    record Candidate(StepRun step, Rank rank, int priority, double slackMillis) {
+        Candidate withRank(Rank other) {
+            return new Candidate(step, other, priority, slackMillis);
+        }
+    }
 
     static final Comparator<Candidate> DISPATCH_ORDER =
             Comparator.comparing(Candidate::rank)
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -60,6 +60,15 @@
             counter(
                     "quetzalscale_fleet_refused_relays_total",
                     "Calls sent through a sibling that the store refused as well");
+    private final Counter reservations =
+            counter(
+                    "quetzalscale_fleet_reservations_total",
+                    "Reservations of capacity for steps that do not fit yet, by event",
+                    "event");
+    private final Counter backfilledStarts =
+            counter(
+                    "quetzalscale_fleet_backfilled_starts_total",
+                    "Starts on reserved capacity of tasks that end before it is needed");
     private final Gauge owner =
             Gauge.builder()
                     .name("quetzalscale_fleet_owner")
@@ -122,6 +131,16 @@
         runEnds.labelValues(end).inc();
     }
 
+    /** Counts what happened to a reservation. */
+    public void reservation(String event) {
+        reservations.labelValues(event).inc();
+    }
+
+    /** Counts a start on reserved capacity. */
+    public void backfilledStart() {
+        backfilledStarts.inc();
+    }
+
     /** Sets whether this instance owns the fleet. */
     public void owner(boolean owns) {
         owner.set(owns ? 1 : 0);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -104,6 +104,7 @@
                         lease.generation() * RUNS_PER_GENERATION);
         scheduler.setCrashListener(new CrashLogger());
         scheduler.updateEvacuatedZones(policies.evacuatedZones());
+        scheduler.setReservationListener(new ReservationLogger(context.metrics()));
         this.overview = new FleetOverview(scheduler);
         this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
         this.jobRows = new JobRows(context.table());
