--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
@@ -24,19 +24,12 @@
         this.estimator = estimator;
     }
 
-    /** What a pool needs, in processors. */
-    record Cores(double lasting, double finite) {
-        double sum() {
-            return lasting + finite;
-        }
-    }
-
     /**
      * Returns the processors that the pool needs.
      *
      * @param epochMillis wall clock in Unix milliseconds, for jobs with due times
      */
-    Cores requiredCores(PoolId pool, long epochMillis) {
+    double requiredCores(PoolId pool, long epochMillis) {
         double lasting = 0;
         double coreSeconds = 0;
         for (JobRun job : fleet.activeJobs(pool)) {
@@ -51,7 +44,7 @@
                 }
             }
         }
-        return new Cores(lasting, coreSeconds / HORIZON_SECONDS);
+        return lasting + coreSeconds / HORIZON_SECONDS;
     }
 
     private double coreSeconds(JobRun job, StepRun step) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -14,6 +14,9 @@
     /** Number of consecutive failures after which a worker gets one task at a time. */
     private static final int SUSPECT_FAILURES = 3;
 
+    /** Above the rounding errors of sums of processors. Plans ask most workers in vain. */
+    private static final double CORE_TOLERANCE = 1e-3;
+
     WorkerEntry entry;
 
     /**
@@ -100,6 +103,9 @@
     }
 
     boolean hasCapacityFor(Resources need) {
+        if (need.cores() > freeCores() + CORE_TOLERANCE) {
+            return false;
+        }
         Resources total = used.plus(need);
         for (Resources orphaned : orphanedRuns.values()) {
             total = total.plus(orphaned);
@@ -126,7 +132,12 @@
 
     /** Whether a task runs here under which another worker has crashed. */
     boolean runsCrashSuspect() {
-        return tasks.values().stream().anyMatch(TrackedTask::isCrashSuspect);
+        for (TrackedTask task : tasks.values()) {
+            if (task.isCrashSuspect()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Whether a task of another job runs here under which several workers have crashed. */
--- a/core/src/test/java/org/quetzalscale/core/schedule/ExcessReplayTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/ExcessReplayTest.java
@@ -63,8 +63,16 @@
          * @param burst factor of the rate at which an organisation sends during the burst
          */
         Replay(double declaredRate, Map<Integer, Double> weights, Map<Integer, Double> burst) {
+            this(declaredRate, weights, burst, LookAhead.FIRST_STEP);
+        }
+
+        Replay(
+                double declaredRate,
+                Map<Integer, Double> weights,
+                Map<Integer, Double> burst,
+                LookAhead lookAhead) {
             this.burst = burst;
-            scheduler = new FleetScheduler(policy(declaredRate, weights), orders, 0);
+            scheduler = new FleetScheduler(policy(declaredRate, weights), orders, 0, lookAhead);
             for (int worker = 1; worker <= WORKERS; worker++) {
                 scheduler.registerWorker(Samples.worker(worker), 0);
                 report(worker, List.of(), 0);
@@ -203,7 +211,7 @@
         @Test
         void doesNotDelayTheOthers() {
             Map<Integer, Double> seven = Map.of(GREEDY, 7.0);
-            Replay old = new Replay(0, Map.of(), seven).run();
+            Replay old = new Replay(0, Map.of(), seven, LookAhead.NONE).run();
             Replay shared = new Replay(RATE, Map.of(), seven).run();
             for (Replay replay : List.of(old, shared)) {
                 System.out.printf(
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
@@ -134,13 +134,18 @@
     }
 
     private PolicyWatcher.OperatorRows operatorRows() {
+        return operatorRows(organisations());
+    }
+
+    static PolicyWatcher.OperatorRows operatorRows(
+            Map<OrganisationId, OrganisationPolicy> organisations) {
         FleetPolicy policy =
                 new FleetPolicy(
                         1,
                         List.of(),
                         Map.of(QUEUE, new QueuePolicy(QUEUE, POOL, 0, 3, 1.6, 600, true)),
                         Map.of(POOL, new PoolPolicy(POOL, false)),
-                        organisations(),
+                        organisations,
                         Map.of());
         return new PolicyWatcher.OperatorRows(
                 "op",
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/StoreOverloadTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/StoreOverloadTest.java
@@ -59,7 +59,8 @@
                             () -> SimulatedJobs.EPOCH_MILLIS + loop.nowMillis());
             CallRetryBudget budget = new CallRetryBudget();
             table = store.clientFor(process, budget);
-            PolicyWatcher policies = new PolicyWatcher(table, clock, OwnerFixture.operatorRows());
+            PolicyWatcher policies =
+                    new PolicyWatcher(table, clock, OwnerFixture.operatorRows(Map.of()));
             owner =
                     new OwnerService(
                             context("node-" + number, clock), policies, new OwnerPreference(1));
