Refuse excess and hopeless jobs on arrival at overload

Cause: at overload no request is refused, while jobs are late for every organisation alike.

Change: the owner publishes the backlog of each pool, what it completes and frees, and what is left of each organisation's rate, in the row of waiting jobs, below a field that earlier releases ignore. Each instance reads it about once a second while jobs arrive, and AdmissionPolicy refuses a job with 429 and Retry-After if the pool is full and the job is beyond its organisation's rate or would certainly end too late. Missing or old figures refuse nobody, and a job that is or may be recorded is accepted.

The whole tests of core and daemon have not run on this commit.

--- a/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
+++ b/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
@@ -48,6 +48,10 @@
     LIMIT_REACHED(429, RunState.NOT_RUN, true),
     /** The queue has reached its limit of waiting requests. */
     QUEUE_FULL(429, RunState.NOT_RUN, true),
+    /** The job is beyond the rate that its organisation declared, and its pool is full. */
+    RATE_EXCEEDED(429, RunState.NOT_RUN, true),
+    /** The pool has so much work that the job would end too late to be worth anything. */
+    OVERLOADED(429, RunState.NOT_RUN, true),
     /** The request line or headers are larger than permitted. */
     HEADERS_TOO_LARGE(431, RunState.NOT_RUN, false),
     /** An internal error of the program. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -9,6 +9,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.quetzalscale.core.id.OrganisationId;
+import org.quetzalscale.core.schedule.FleetOverview;
 
 /** Prometheus metrics of the fleet's services. Safe for use by several threads. */
 public final class FleetMetrics {
@@ -44,6 +47,17 @@
                     "quetzalscale_fleet_refusals_total",
                     "Requests of callers that were refused, by reason",
                     "kind");
+    private final Counter admissionRefusals =
+            counter(
+                    "quetzalscale_fleet_admission_refusals_total",
+                    "Jobs that were refused at overload, by reason",
+                    "reason");
+    private final Gauge jobs =
+            Gauge.builder()
+                    .name("quetzalscale_fleet_jobs")
+                    .help("Jobs at the owner that have not ended, within the declared rate or not")
+                    .labelNames("organisation", "share")
+                    .register(registry);
     private final Gauge owner =
             Gauge.builder()
                     .name("quetzalscale_fleet_owner")
@@ -65,6 +79,21 @@
         refusals.labelValues(kind).inc();
     }
 
+    /** Counts a job that was refused at overload. */
+    public void admissionRefused(String reason) {
+        admissionRefusals.labelValues(reason).inc();
+    }
+
+    /** Replaces the numbers of jobs within and beyond the rates of the organisations. */
+    public void rates(Map<OrganisationId, FleetOverview.RateView> rates) {
+        jobs.clear();
+        rates.forEach(
+                (id, view) -> {
+                    jobs.labelValues(id.value(), "within").set(view.within());
+                    jobs.labelValues(id.value(), "excess").set(view.excess());
+                });
+    }
+
     /** Records the outcome of a call to the store and its duration in milliseconds. */
     public void storeCall(String call, String outcome, long millis) {
         storeCalls.labelValues(call, outcome).observe(millis / MILLIS_PER_SECOND);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -12,6 +12,7 @@
 import org.quetzalscale.core.schedule.FleetOverview;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
+import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.Mutation;
@@ -70,6 +71,7 @@
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
     private final OwnedRow waitingRow;
+    private final LoadObserver load;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final WorkerDirectory workers;
@@ -115,6 +117,7 @@
                         sessions,
                         endedJobs::add,
                         onFenced);
+        this.load = new LoadObserver(scheduler);
         this.waitingRow = new OwnedRow(context.table(), lease.fence(), FleetRows.WAITING);
         this.instanceController = new InstanceController(context, policies, lease, this, sessions);
     }
@@ -138,6 +141,7 @@
         ended = true;
         gate.stop();
         recorder.stop();
+        context.metrics().rates(Map.of());
         Logger.info("event=term_ends fence={}", fence());
     }
 
@@ -444,6 +448,8 @@
     private String waitingCounts() {
         ObjectNode counts = JsonNodeFactory.instance.objectNode();
         scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
+        load.observe(clock.nowMillis(), clock.epochMillis().getAsLong())
+                .ifPresent(figures -> LoadRow.write(figures, counts));
         return counts.toString();
     }
 
@@ -451,6 +457,7 @@
         if (ended) {
             return;
         }
+        context.metrics().rates(overview.rates());
         String text = waitingCounts();
         if (!text.equals(publishedCounts)) {
             publishedCounts = text;
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
@@ -31,6 +31,7 @@
     private final LoopClock clock;
     private final OwnerPreference preference;
     private boolean stopped;
+    private int siblingCount;
 
     /**
      * A sibling's row.
@@ -79,6 +80,11 @@
                 .handle((result, failure) -> null);
     }
 
+    /** The number of instances that are registered, with this one. Runs on the event loop. */
+    public int instanceCount() {
+        return 1 + siblingCount;
+    }
+
     private void register() {
         if (stopped) {
             return;
@@ -105,6 +111,7 @@
             Map<InstanceId, Sibling> siblings = new HashMap<>();
             snapshot.rows().forEach(row -> parseRow(row, siblings));
             siblings.remove(self);
+            siblingCount = siblings.size();
             Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
             siblings.forEach((id, sibling) -> addresses.put(id, sibling.address()));
             table.updateSiblings(addresses);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
@@ -1,5 +1,8 @@
 package org.quetzalscale.daemon.fleet;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -7,11 +10,14 @@
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.schedule.FleetOverview.RateView;
+import org.quetzalscale.core.schedule.LoadFigures;
 import org.quetzalscale.core.schedule.OrganisationPolicy;
 import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.Recurrence;
 import org.quetzalscale.core.task.RunEnd;
+import org.quetzalscale.net.json.Json;
 
 /** An organisation that exceeds its rate while the owner changes. */
 final class ExcessTakeoverTest extends OwnerFixture {
@@ -49,6 +55,36 @@
                                 .orElse(new RateView(0, 0)));
     }
 
+    /**
+     * Guards against figures that no instance can read, and against numbers of waiting jobs that an
+     * earlier release can no longer read beside them.
+     */
+    @Test
+    void publishesTheLoadBesideTheNumbersOfWaitingJobs() {
+        Node node = new Node("node-1");
+        for (int number = 1; number <= JOBS; number++) {
+            submit(numbered(number));
+        }
+        await("the last job", () -> waitingRow().path("quick").asInt() == JOBS - 1);
+
+        LoadFigures load = LoadRow.read(waitingRow()).orElseThrow();
+        assertThat(load.pools().get(POOL).excessCoreSeconds()).isPositive();
+        assertThat(load.pools().get(POOL).freeCores()).isZero();
+        assertThat(load.pools().get(POOL).completedPerSecond()).isEqualTo(8);
+        assertThat(load.tokens()).containsKey(ORGANISATION);
+        node.stop();
+    }
+
+    private JsonNode waitingRow() {
+        String text =
+                table.read(FleetRows.WAITING)
+                        .toCompletableFuture()
+                        .join()
+                        .map(Row::value)
+                        .orElse("{}");
+        return Json.read(text, JsonNode.class);
+    }
+
     /**
      * Guards against a new owner that forgets the ended jobs, and so finds more within the rate.
      */
