State the age limit of figures in the tests of admission

Cause: the tests took the limit from the class, so they passed when it was changed. Change: they state 2 s. Result: both fail with a longer limit.

--- a/core/src/test/java/org/quetzalscale/core/schedule/AdmissionPolicyTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/AdmissionPolicyTest.java
@@ -87,7 +87,7 @@
         void isAcceptedWhenTheFiguresAreTooOldOrMissing() {
             useUpLocalShare();
 
-            assertThat(decide(job(1), full(0), AdmissionPolicy.MAX_AGE_MILLIS)).isEmpty();
+            assertThat(decide(job(1), full(0), 2_000)).isEmpty();
             assertThat(AdmissionPolicy.decide(job(2), POLICY, Optional.empty(), now)).isEmpty();
         }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
@@ -32,6 +32,7 @@
 final class AdmissionGateTest {
     private static final OrganisationId ORGANISATION = new OrganisationId("coop");
     private static final long PUBLISH_MILLIS = 800;
+    private static final long STALE_MILLIS = 2_000;
     private static final FleetPolicy POLICY =
             new FleetPolicy(
                     1,
@@ -137,7 +138,7 @@
     void acceptsWhenTheOwnerIsGone() {
         refusedIn(3_000);
         publishing = false;
-        refusedIn(AdmissionPolicy.MAX_AGE_MILLIS + PUBLISH_MILLIS);
+        refusedIn(STALE_MILLIS + PUBLISH_MILLIS);
 
         assertThat(refusedIn(2_000)).isZero();
     }
@@ -155,7 +156,7 @@
     void acceptsWhileTheStoreIsUnavailable() {
         refusedIn(3_000);
         table.unavailable = true;
-        refusedIn(AdmissionPolicy.MAX_AGE_MILLIS);
+        refusedIn(STALE_MILLIS);
 
         assertThat(refusedIn(2_000)).isZero();
     }
