--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -14,6 +14,7 @@
 import org.quetzalscale.core.schedule.FleetOverview;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
+import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.Mutation;
@@ -74,6 +75,7 @@
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
     private final OwnedRow waitingRow;
+    private final LoadObserver load;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final WorkerDirectory workers;
@@ -125,6 +127,7 @@
                         sessions,
                         endedJobs::add,
                         onFenced);
+        this.load = new LoadObserver(scheduler);
         this.waitingRow = new OwnedRow(context.table(), lease.fence(), FleetRows.WAITING);
         this.instanceController = new InstanceController(context, policies, lease, this, sessions);
     }
@@ -150,6 +153,7 @@
         gate.stop();
         recorder.stop();
         context.metrics().lastingTasksInEvacuatedZones(0);
+        context.metrics().rates(Map.of());
         Logger.info("event=term_ends fence={}", fence());
     }
 
@@ -461,6 +465,8 @@
     private String waitingCounts() {
         ObjectNode counts = JsonNodeFactory.instance.objectNode();
         scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
+        load.observe(clock.nowMillis(), clock.epochMillis().getAsLong())
+                .ifPresent(figures -> LoadRow.write(figures, counts));
         return counts.toString();
     }
 
@@ -468,6 +474,7 @@
         if (ended) {
             return;
         }
+        context.metrics().rates(overview.rates());
         String text = waitingCounts();
         if (!text.equals(publishedCounts)) {
             publishedCounts = text;
