--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -49,6 +49,7 @@
     private final JobLifecycle jobs;
     private final WorkerReportHandler reportHandler;
     private final CrashAttribution crashAttribution;
+    private final WorkerIncarnations incarnations;
     private final StallDetector stallDetector;
     private final UnansweredStarts unansweredStarts;
     private final Dispatcher dispatcher;
@@ -76,6 +77,7 @@
         this.crashAttribution = new CrashAttribution(jobs);
         this.stallDetector = new StallDetector(jobs);
         this.unansweredStarts = new UnansweredStarts(orders);
+        this.incarnations = new WorkerIncarnations(jobs, crashAttribution, unansweredStarts);
         this.dispatcher =
                 new Dispatcher(
                         fleet,
@@ -207,7 +209,7 @@
             unansweredStarts.stopAll(entry.id(), nowMillis);
             return;
         }
-        handleRegisteredIncarnation(known, entry.startedEpochMillis(), nowMillis);
+        incarnations.handleRegistered(known, entry.startedEpochMillis(), nowMillis);
         if (!known.entry.pool().equals(entry.pool())) {
             fleet.removeWorker(known);
             known.updateEntry(entry, nowMillis);
@@ -360,7 +362,7 @@
         if (worker == null) {
             return;
         }
-        handleReportedIncarnation(worker, report.startedEpochMillis(), sentMillis, nowMillis);
+        incarnations.handleReported(worker, report.startedEpochMillis(), sentMillis, nowMillis);
         if (!worker.reported) {
             worker.reported = true;
             unansweredStarts.stopAll(id, nowMillis);
@@ -479,52 +481,4 @@
     FleetPolicy policy() {
         return policy;
     }
-
-    /**
-     * Handles an entry with a new incarnation of the worker. Tasks are not released here: a start
-     * may have reached the new incarnation before its entry was read, so only the worker's own
-     * report tells what runs.
-     */
-    private void handleRegisteredIncarnation(
-            WorkerState worker, long startedEpochMillis, long nowMillis) {
-        if (worker.startedEpochMillis == 0) {
-            worker.startedEpochMillis = startedEpochMillis;
-        } else if (startedEpochMillis > worker.startedEpochMillis) {
-            worker.leftAsPlanned |= worker.entry.draining();
-            worker.reported = false;
-            unansweredStarts.stopAll(worker.entry.id(), nowMillis);
-        }
-    }
-
-    /**
-     * Handles a report of a new incarnation, which runs nothing that the previous one ran. A start
-     * that was accepted after the report was requested may run in the new incarnation, so it is
-     * stopped first.
-     */
-    private void handleReportedIncarnation(
-            WorkerState worker, long startedEpochMillis, long sentMillis, long nowMillis) {
-        if (startedEpochMillis <= worker.startedEpochMillis) {
-            return;
-        }
-        boolean known = worker.startedEpochMillis != 0;
-        worker.startedEpochMillis = startedEpochMillis;
-        if (!known) {
-            return;
-        }
-        worker.reported = false;
-        worker.consecutiveFailures = 0;
-        crashAttribution.recordCrash(worker, nowMillis);
-        worker.leftAsPlanned = false;
-        unansweredStarts.stopAll(worker.entry.id(), nowMillis);
-        for (TrackedTask task : List.copyOf(worker.tasks.values())) {
-            if (task.state != TrackedTask.State.RUNNING) {
-                continue;
-            }
-            if (task.stateSinceMillis < sentMillis) {
-                jobs.release(task, nowMillis);
-            } else {
-                jobs.stop(task, nowMillis);
-            }
-        }
-    }
 }
