--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/AdmissionGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/AdmissionGate.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -167,7 +168,7 @@
     }
 
     private void recordRefusal(JobDefinition job, AdmissionPolicy.Refusal refusal) {
-        metrics.admissionRefused(refusal.reason().name().toLowerCase(java.util.Locale.ROOT));
+        metrics.admissionRefused(refusal.reason().name().toLowerCase(Locale.ROOT));
         Logger.info(
                 "event=admission_refused job={} queue={} pool={} organisation={} reason={}"
                         + " retry_after_s={} tokens={} wait_s={} limit_s={} backlog={}"
