--- a/core/src/main/java/org/quetzalscale/core/schedule/ZoneEvacuation.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/ZoneEvacuation.java
@@ -71,9 +71,9 @@
 
     private void stopIfRoomElsewhere(TrackedTask task, long nowMillis) {
         PoolId pool = task.step.job.definition.pool();
-        WorkerState target = Placement.choose(task, fleet.workersOf(pool), nowMillis);
-        if (target != null) {
-            target.keptRoom.put(task, task.step.definition.reserved());
+        WorkerState destination = Placement.choose(task, fleet.workersOf(pool), nowMillis);
+        if (destination != null) {
+            destination.keptRoom.put(task, task.step.definition.reserved());
             jobs.stop(task, nowMillis);
         }
     }
