Look ahead only where the settings of a deployment ask for it

Change: placement that looks ahead and the selection at overload are a setting, lookAhead, which is off by default; an earlier deployment is placed as before. Only what an instance knows of counts as a certain wait.

--- a/core/src/main/java/org/quetzalscale/core/schedule/AdmissionPolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/AdmissionPolicy.java
@@ -103,7 +103,7 @@
         if (pool == null || queue == null || hasCapacity(pool, job, known)) {
             return Optional.empty();
         }
-        double ahead = backlog(pool.withinCoreSeconds(queue.priority()), pool, job, known);
+        double ahead = certainBacklog(pool.withinCoreSeconds(queue.priority()), pool, job, known);
         double wait = ahead / pool.completedPerSecond();
         double limit = LATE_FACTOR * objectiveMillis(job, queue) / MILLIS_PER_SECOND;
         Reason reason;
@@ -145,6 +145,16 @@
         return Math.max(0, published + accepted - completed);
     }
 
+    /**
+     * What certainly waits before the job: without what other instances may have accepted since the
+     * figures were made, of which this one knows nothing.
+     */
+    private static double certainBacklog(
+            double published, LoadFigures.PoolLoad pool, JobDefinition job, Known known) {
+        double completed = pool.completedPerSecond() * known.ageMillis() / MILLIS_PER_SECOND;
+        return Math.max(0, published + known.local().work(job.pool()).coreSeconds() - completed);
+    }
+
     private static boolean isExcess(JobDefinition job, double rate, Known known, long nowMillis) {
         return rate > 0
                 && tokens(job, known) < 1
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -60,13 +60,21 @@
     /** Wall clock in Unix milliseconds at the last call of {@link #plan}. */
     private long epochMillis;
 
+    /** Creates a scheduler whose placement does not look ahead. */
+    public FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase) {
+        this(policy, orders, runBase, LookAhead.NONE);
+    }
+
     /**
      * Creates a scheduler without jobs or workers.
      *
      * @param runBase the highest run number that an earlier owner may have used
+     * @param looksAhead whether steps that do not fit get a reservation, and jobs are selected at
+     *     overload
      */
-    public FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase) {
-        this(policy, orders, runBase, LookAhead.FIRST_STEP);
+    public FleetScheduler(
+            FleetPolicy policy, OrderSender orders, long runBase, boolean looksAhead) {
+        this(policy, orders, runBase, looksAhead ? LookAhead.FIRST_STEP : LookAhead.NONE);
     }
 
     FleetScheduler(FleetPolicy policy, OrderSender orders, long runBase, LookAhead lookAhead) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -20,6 +20,7 @@
  * @param workers where the entries of workers are stored
  * @param instances client for the platform's instances
  * @param waveStatus where the state of waves is published
+ * @param looksAhead whether placement reserves capacity and selects jobs at overload
  */
 public record FleetContext(
         InstanceId self,
@@ -30,11 +31,35 @@
         InstanceCalls instances,
         WaveStatusRows waveStatus,
         Times times,
-        FleetMetrics metrics) {
+        FleetMetrics metrics,
+        boolean looksAhead) {
+    /** Creates a context whose placement does not look ahead. */
+    public FleetContext(
+            InstanceId self,
+            LoopClock clock,
+            FeedTable table,
+            WorkerCalls calls,
+            WorkerRows workers,
+            InstanceCalls instances,
+            WaveStatusRows waveStatus,
+            Times times,
+            FleetMetrics metrics) {
+        this(self, clock, table, calls, workers, instances, waveStatus, times, metrics, false);
+    }
+
     /** This context with other clients for workers and instances. */
     FleetContext withCalls(WorkerCalls newCalls, InstanceCalls newInstances) {
         return new FleetContext(
-                self, clock, table, newCalls, workers, newInstances, waveStatus, times, metrics);
+                self,
+                clock,
+                table,
+                newCalls,
+                workers,
+                newInstances,
+                waveStatus,
+                times,
+                metrics,
+                looksAhead);
     }
 
     /**
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -103,7 +103,8 @@
                 new FleetScheduler(
                         policies.current().orElseThrow(),
                         this,
-                        lease.generation() * RUNS_PER_GENERATION);
+                        lease.generation() * RUNS_PER_GENERATION,
+                        services.looksAhead());
         scheduler.setCrashListener(new CrashLogger());
         scheduler.updateEvacuatedZones(policies.evacuatedZones());
         scheduler.setReservationListener(new ReservationLogger(context.metrics()));
