--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -19,6 +19,7 @@
     final Map<JobId, JobRun> jobs = new LinkedHashMap<>();
     final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
     final OrganisationUsage usage = new OrganisationUsage();
+    final WorkArrivals arrivals = new WorkArrivals();
 
     /** Jobs that have not ended, by pool and in the order in which they were added. */
     private final Map<PoolId, Set<JobRun>> active = new LinkedHashMap<>();
@@ -32,6 +33,7 @@
 
     void addJob(JobRun job) {
         jobs.put(job.definition.id(), job);
+        arrivals.add(job.definition, job.acceptedMillis);
         if (!job.phase.isFinal()) {
             active.computeIfAbsent(job.definition.pool(), pool -> new LinkedHashSet<>()).add(job);
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
@@ -23,15 +23,10 @@
  * <p>An instance with tasks is drained first. An instance with lasting tasks is not moved.
  */
 public final class PoolBalancer {
-    /**
-     * Fraction of an equal share of all instances that each pool keeps for the start of a burst.
-     */
-    private static final double MIN_SHARE = 0.6;
-
     private static final long RETRY_MILLIS = 1_000;
 
     private final FleetScheduler scheduler;
-    private final PoolDemand demand;
+    private final NeedRule needRule;
     private final PoolTargets targets = new PoolTargets();
 
     /** Moves whose effect no list of instances has shown yet. */
@@ -46,8 +41,12 @@
 
     /** Creates a balancer for the scheduler's fleet. */
     public PoolBalancer(FleetScheduler scheduler) {
+        this(scheduler, new ForecastNeeds(scheduler));
+    }
+
+    PoolBalancer(FleetScheduler scheduler, NeedRule needRule) {
         this.scheduler = scheduler;
-        this.demand = new PoolDemand(scheduler.fleet(), scheduler.estimator());
+        this.needRule = needRule;
     }
 
     /** A move that was ordered. */
@@ -222,8 +221,13 @@
         for (PoolBalance balance : balances.values()) {
             total += balance.instanceCount;
         }
-        double minimum = Math.floor(MIN_SHARE * total / balances.size());
-        balances.keySet().forEach(pool -> needs.put(pool, need(pool, minimum)));
+        double equalShare = (double) total / balances.size();
+        needRule.update(nowMillis);
+        for (PoolBalance balance : balances.values()) {
+            needs.put(
+                    balance.pool,
+                    needRule.need(balance.pool, balance.instanceCount, equalShare, nowMillis));
+        }
         targets.allocate(needs, total, nowMillis)
                 .forEach((pool, target) -> balances.get(pool).target = target);
         return balances;
@@ -247,25 +251,6 @@
         }
     }
 
-    private PoolTargets.Need need(PoolId pool, double minimumShare) {
-        long lastingWorkers =
-                scheduler.fleet().workersOf(pool).stream()
-                        .filter(WorkerUse::countsInPool)
-                        .filter(WorkerState::hasLastingTasks)
-                        .count();
-        double cores = demand.requiredCores(pool, scheduler.epochMillis());
-        double minimum = Math.max(minimumShare, Math.max(lastingWorkers, cores > 0 ? 1 : 0));
-        return new PoolTargets.Need(minimum, Math.max(minimum, cores / coresPerWorker()));
-    }
-
-    private double coresPerWorker() {
-        return scheduler.fleet().workers.values().stream()
-                .mapToDouble(worker -> worker.entry.capacity().cores())
-                .filter(cores -> cores > 0)
-                .average()
-                .orElse(1);
-    }
-
     private List<FleetInstance> standby(long nowMillis) {
         List<FleetInstance> found = new ArrayList<>();
         for (FleetInstance instance : instances) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
@@ -24,12 +24,19 @@
         this.estimator = estimator;
     }
 
+    /** What a pool needs, in processors. */
+    record Cores(double lasting, double finite) {
+        double sum() {
+            return lasting + finite;
+        }
+    }
+
     /**
      * Returns the processors that the pool needs.
      *
      * @param epochMillis wall clock in Unix milliseconds, for jobs with due times
      */
-    double requiredCores(PoolId pool, long epochMillis) {
+    Cores requiredCores(PoolId pool, long epochMillis) {
         double lasting = 0;
         double coreSeconds = 0;
         for (JobRun job : fleet.activeJobs(pool)) {
@@ -44,7 +51,7 @@
                 }
             }
         }
-        return lasting + coreSeconds / HORIZON_SECONDS;
+        return new Cores(lasting, coreSeconds / HORIZON_SECONDS);
     }
 
     private double coreSeconds(JobRun job, StepRun step) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolTargets.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolTargets.java
@@ -23,8 +23,19 @@
      *
      * @param minimum what the pool keeps in any case
      * @param current what the pool needs now; not less than {@code minimum}
+     * @param expected what the pool is expected to need, in place of its recent need; NaN if that
+     *     is not known
      */
-    record Need(double minimum, double current) {}
+    record Need(double minimum, double current, double expected) {
+        /** A need of a pool of whose future nothing is known. */
+        Need(double minimum, double current) {
+            this(minimum, current, Double.NaN);
+        }
+
+        private double lasting(double decayed) {
+            return Math.max(current, Double.isNaN(expected) ? decayed : expected);
+        }
+    }
 
     /**
      * Returns the number of instances of each pool. Before each is rounded to the nearest integer,
@@ -39,7 +50,7 @@
         for (Map.Entry<PoolId, Need> entry : needs.entrySet()) {
             double now = entry.getValue().current();
             double before = decayedNeeds.getOrDefault(entry.getKey(), now);
-            decayedNeeds.put(entry.getKey(), Math.max(now, before * decay));
+            decayedNeeds.put(entry.getKey(), entry.getValue().lasting(before * decay));
             minimum += entry.getValue().minimum();
             need += now;
             decayedTotal += decayedNeeds.get(entry.getKey());
--- a/core/src/main/java/org/quetzalscale/core/schedule/RunTimeEstimator.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/RunTimeEstimator.java
@@ -23,6 +23,20 @@
                 queue, (double) runMillis, (mean, run) -> mean + LEARNING_RATE * (run - mean));
     }
 
+    /**
+     * Estimates the core seconds of many tasks of a queue.
+     *
+     * @param estimated sum of their submitters' estimates in core seconds
+     * @param cores sum of the cores of the tasks
+     */
+    double coreSeconds(QueueId queue, double estimated, double cores) {
+        Double mean = meanMillis.get(queue);
+        if (mean == null) {
+            return estimated;
+        }
+        return ESTIMATE_WEIGHT * estimated + (1 - ESTIMATE_WEIGHT) * mean / 1_000 * cores;
+    }
+
     double estimateMillis(QueueId queue, StepDefinition step) {
         Double mean = meanMillis.get(queue);
         if (mean == null) {
