Print the bound by pool and second, and limit how often bins are judged

The bound was printed as a sum only.

Change: all bins are judged again at most every 2 s. A test prints the bound, the earlier rule and the forecast for each pool and second, and asserts that no rule holds less than the bound.

--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolForecast.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolForecast.java
@@ -11,10 +11,17 @@
  * that nobody states.
  */
 final class PoolForecast {
+    /**
+     * Least time between two times that all bins are judged again, while a new owner reads ended
+     * jobs: on a weak instance that takes as long as several plans.
+     */
+    private static final long RELEARN_INTERVAL_MILLIS = 2_000;
+
     private final FleetScheduler scheduler;
     private final Map<QueueId, QueueForecast> forecasts = new LinkedHashMap<>();
     private long judgedBin = Long.MIN_VALUE;
     private int revision;
+    private long nextRelearnMillis = Long.MIN_VALUE;
 
     PoolForecast(FleetScheduler scheduler) {
         this.scheduler = scheduler;
@@ -27,7 +34,8 @@
         series.values().forEach(queue -> queue.advance(currentBin));
         long first = series.values().stream().mapToLong(WorkSeries::oldestBin).min().orElse(0);
         int changes = series.values().stream().mapToInt(WorkSeries::revision).sum();
-        if (changes != revision) {
+        if (changes != revision && nowMillis >= nextRelearnMillis) {
+            nextRelearnMillis = nowMillis + RELEARN_INTERVAL_MILLIS;
             revision = changes;
             forecasts.clear();
             judgedBin = Long.MIN_VALUE;
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolForecastReplayTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolForecastReplayTest.java
@@ -129,4 +129,32 @@
                                 ? 0.05
                                 : rotating(pool, millis, PERIOD_MILLIS));
     }
+
+    /** Guards against a bound that a rule can beat, and prints it by pool and second. */
+    @Test
+    void boundByPoolAndSecond() {
+        Shape shape = (pool, millis) -> rotating(pool, millis, PERIOD_MILLIS);
+        List<Arrival> arrivals = PoolReplay.arrivals(shape, END_MILLIS, 1);
+        PoolBound bound = new PoolBound(arrivals, END_MILLIS);
+        List<long[]> today =
+                PoolReplay.heldBySecond(arrivals, END_MILLIS, fleet -> reactive(fleet, 0));
+        List<long[]> forecast = PoolReplay.heldBySecond(arrivals, END_MILLIS, PoolBalancer::new);
+        double least = 0;
+        long held = 0;
+        for (int second = 0; second < today.size(); second++) {
+            StringBuilder line = new StringBuilder(String.format("%3d s", second));
+            for (int pool = 0; pool < PoolReplay.POOLS; pool++) {
+                double needed = bound.instances(pool, second);
+                least += needed;
+                held += forecast.get(second)[pool];
+                line.append(
+                        String.format(
+                                "  | bound %5.1f today %3d forecast %3d",
+                                needed, today.get(second)[pool], forecast.get(second)[pool]));
+            }
+            System.out.println(line);
+        }
+        assertThat(least).isLessThan(bound.heldSeconds());
+        assertThat(bound.heldSeconds()).isLessThan(held);
+    }
 }
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolReplay.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolReplay.java
@@ -104,6 +104,7 @@
     private final Map<JobId, Arrival> open = new HashMap<>();
     private final PriorityQueue<End> ends =
             new PriorityQueue<>(Comparator.comparingLong(End::millis));
+    private final List<long[]> heldBySecond = new ArrayList<>();
     private final List<Arrived> moving = new ArrayList<>();
     private final Map<InstanceId, Long> lastMoveMillis = new HashMap<>();
     private final Map<InstanceId, PoolId> lastOrigins = new HashMap<>();
@@ -226,6 +227,14 @@
         return new PoolReplay(rule).replay(arrivals, millis);
     }
 
+    /** Returns the instances of each pool at each second. */
+    static List<long[]> heldBySecond(
+            List<Arrival> arrivals, long millis, Function<FleetScheduler, PoolBalancer> rule) {
+        PoolReplay replay = new PoolReplay(rule);
+        replay.replay(arrivals, millis);
+        return replay.heldBySecond;
+    }
+
     private Result replay(List<Arrival> arrivals, long millis) {
         endMillis = millis;
         int next = 0;
@@ -243,12 +252,19 @@
                 balance();
             }
             held += heldInstances() * TICK_MILLIS / 1_000.0;
+            if (now % 1_000 == 0) {
+                heldBySecond.add(IntStream.range(0, POOLS).mapToLong(this::instancesIn).toArray());
+            }
         }
         int due = (int) arrivals.stream().filter(a -> a.dueMillis() < millis).count();
         return new Result(held, moves, undone, due, onTime);
     }
 
-    long heldInstances() {
+    private long instancesIn(int pool) {
+        return instances.stream().filter(i -> i.pool().equals(pool(pool))).count();
+    }
+
+    private long heldInstances() {
         return instances.stream().filter(i -> !i.pool().equals(STANDBY)).count();
     }
 
