--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -74,6 +74,7 @@
     private final EndedJobHistory endedHistory;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
+    private final ArrivalRecovery arrivalRecovery;
     private final OwnedRow waitingRow;
     private final LoadObserver load;
     private final Runnable onFenced;
@@ -129,6 +130,11 @@
                         onFenced);
         this.load = new LoadObserver(scheduler);
         this.waitingRow = new OwnedRow(context.table(), lease.fence(), FleetRows.WAITING);
+        this.arrivalRecovery =
+                new ArrivalRecovery(
+                        clock,
+                        this,
+                        job -> scheduler.addEndedJob(job, acceptedMillis(job, clock.nowMillis())));
         this.instanceController = new InstanceController(context, policies, lease, this, sessions);
     }
 
@@ -154,6 +160,7 @@
         recorder.stop();
         context.metrics().lastingTasksInEvacuatedZones(0);
         context.metrics().rates(Map.of());
+        context.metrics().clearPools();
         Logger.info("event=term_ends fence={}", fence());
     }
 
@@ -296,6 +303,7 @@
         planPeriodically();
         publishPeriodically();
         instanceController.start();
+        arrivalRecovery.start();
         endedJobs.deletePeriodically();
         endedHistory.decode();
     }
@@ -321,6 +329,9 @@
         if (known.filter(progress -> progress.phase().isFinal()).isPresent()) {
             endedJobs.add(id.get());
             endedHistory.add(key, version, value);
+            if (!FleetRows.isCancellation(key)) {
+                arrivalRecovery.add(new Row(key, version, value));
+            }
             return;
         }
         if (FleetRows.isCancellation(key)) {
@@ -333,9 +344,13 @@
             return;
         }
         long now = clock.nowMillis();
-        long age =
-                scheduling ? 0 : clock.epochMillis().getAsLong() - job.get().acceptedEpochMillis();
-        addJob(job.get(), recorded, now - Math.max(0, Math.min(MAX_JOB_AGE_MILLIS, age)), now);
+        addJob(job.get(), recorded, scheduling ? now : acceptedMillis(job.get(), now), now);
+    }
+
+    /** When a job of an earlier term was accepted, on the clock of this owner. */
+    private long acceptedMillis(JobDefinition job, long nowMillis) {
+        long age = clock.epochMillis().getAsLong() - job.acceptedEpochMillis();
+        return nowMillis - Math.max(0, Math.min(MAX_JOB_AGE_MILLIS, age));
     }
 
     /**
