Hold jobs of earlier terms while a worker that is up has not reported

Cause: a new owner held recovered jobs until every worker on the list of instances had reported, but no longer than 2 s. That limit was meant for a list that cannot be read; it also ended the wait for a worker that the list showed as up, and a list that cannot be read tells nothing either.

Hypotheses: the list names the worker and the limit overrides it, or the list was not read within 2 s.

FormerRuns decides: jobs are released once all workers have reported, or once the leases that an earlier owner may have given have expired (6.7 s). Nothing else counts as knowledge, also not an unreadable entry or list.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -270,6 +270,11 @@
         fleet.recoveredJobsHeld = true;
     }
 
+    /** Whether jobs are suspended by {@link #holdRecoveredJobs}. */
+    public boolean holdsRecoveredJobs() {
+        return fleet.recoveredJobsHeld;
+    }
+
     /** Resumes the jobs that {@link #holdRecoveredJobs} suspended. */
     public void releaseRecoveredJobs() {
         if (fleet.recoveredJobsHeld) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -121,11 +121,22 @@
      * entry can be missing while the worker still runs tasks of an earlier owner.
      */
     boolean allWorkersReported() {
-        return latestInstances != null
-                && latestInstances.stream()
-                        .filter(FleetInstance::up)
-                        .flatMap(instance -> instance.worker().stream())
-                        .allMatch(term.scheduler()::hasReported);
+        return latestInstances != null && unreportedWorkers().isEmpty();
+    }
+
+    /** The workers for which recovered jobs wait, for the log. */
+    String describeUnreported() {
+        return latestInstances == null
+                ? "list of instances unknown"
+                : unreportedWorkers().toString();
+    }
+
+    private List<WorkerId> unreportedWorkers() {
+        return latestInstances.stream()
+                .filter(FleetInstance::up)
+                .flatMap(instance -> instance.worker().stream())
+                .filter(worker -> !term.scheduler().hasReported(worker))
+                .toList();
     }
 
     /** Adds the waves with the time left until their deadlines, and the pending moves. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.quetzalscale.core.schedule.FleetOverview;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
+import org.quetzalscale.core.schedule.FormerRuns;
 import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
 import org.quetzalscale.core.table.ChangedRow;
@@ -46,11 +48,6 @@
 
     private static final long PUBLISH_INTERVAL_MILLIS = 800;
 
-    /**
-     * How long a term waits for the list of instances before it relies on the worker entries alone.
-     */
-    private static final long INSTANCE_LIST_TIMEOUT_MILLIS = 2_000;
-
     /** Rows of a snapshot that are decoded in one turn of the loop. */
     private static final int ROWS_PER_TURN = 100;
 
@@ -436,31 +433,38 @@
             return;
         }
         long now = clock.nowMillis();
-        if (formerRunsKnown(now)) {
-            scheduler.releaseRecoveredJobs();
-        }
+        releaseRecoveredJobs(now);
         scheduler.plan(now, clock.epochMillis().getAsLong());
         context.metrics().lastingTasksInEvacuatedZones(scheduler.lastingTasksInEvacuatedZones());
         recorder.flush();
         lastPlanMillis = clock.nowMillis() - now;
     }
 
-    /**
-     * Whether every run that an earlier owner started is known to this one or can no longer be
-     * running.
-     */
-    private boolean formerRunsKnown(long nowMillis) {
-        long age = nowMillis - startMillis;
-        if (!workers.allCalled()) {
-            return false;
+    /** Starts the jobs of earlier terms once no run of an earlier owner can be unnoticed. */
+    private void releaseRecoveredJobs(long nowMillis) {
+        if (!scheduler.holdsRecoveredJobs()) {
+            return;
         }
-        if (age >= WorkerLease.formerBoundMillis()
-                && sessions.values().stream().allMatch(s -> s.formerRunsKnown(nowMillis))) {
-            return true;
+        FormerRuns.Verdict verdict = formerRuns(nowMillis).verdict();
+        if (verdict != FormerRuns.Verdict.HOLD) {
+            scheduler.releaseRecoveredJobs();
+            Logger.info(
+                    "event=recovered_jobs_released reason={} ms={} unreported=\"{}\"",
+                    verdict.name().toLowerCase(Locale.ROOT),
+                    nowMillis - startMillis,
+                    instanceController.describeUnreported());
         }
-        boolean listKnown =
-                instanceController.allWorkersReported() || age >= INSTANCE_LIST_TIMEOUT_MILLIS;
-        return listKnown && scheduler.allWorkersReported();
+    }
+
+    private FormerRuns formerRuns(long nowMillis) {
+        boolean leasesExpired =
+                nowMillis - startMillis >= WorkerLease.formerBoundMillis()
+                        && sessions.values().stream().allMatch(s -> s.formerRunsKnown(nowMillis));
+        return new FormerRuns(
+                workers.allCalled(),
+                scheduler.allWorkersReported(),
+                instanceController.allWorkersReported(),
+                leasesExpired);
     }
 
     private String waitingCounts() {
