Count a run that is no longer needed until it has ended

Operators saw a worker beyond its capacity (LIMIT) after a takeover: a task had been started anew because the lease of its worker had expired, then the worker came back with the end of the former run. The owner stopped the present run and gave its room away at once, while it was still ending.

The run is counted as an orphaned one until a report of its worker no longer lists it, as with all other runs that an owner only stops. SchedulerRecoveryTest.LostWorkers.leaveRoomForARunThatIsNoLongerNeeded fails without the change.

--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
+import org.quetzalscale.core.task.RunningTask;
 
 /** Handles the ends of tasks and jobs, and collects the jobs whose progress has to be recorded. */
 final class JobLifecycle {
@@ -112,13 +113,23 @@
     private void markDone(TrackedTask task, boolean runEnded, long nowMillis) {
         if (task.isAssigned()) {
             if (!runEnded) {
-                orders.stop(task.worker, task.ref, task.run);
+                stopOrphan(task);
             }
             release(task, nowMillis);
         }
         task.step.markDone(task, nowMillis);
     }
 
+    /** Stops the current run of a task that needs it no more. It uses its resources until then. */
+    private void stopOrphan(TrackedTask task) {
+        WorkerState worker = fleet.workers.get(task.worker);
+        if (worker != null) {
+            RunningTask run = new RunningTask(task.ref, task.run, task.checkpoint, task.percent, 0);
+            worker.orphanedRuns.put(run, task.step.definition.reserved());
+        }
+        orders.stop(task.worker, task.ref, task.run);
+    }
+
     /** Handles a failed run. The job fails with its last permitted attempt. */
     void handleFailure(TrackedTask task, long run, WorkerState worker, long nowMillis) {
         JobRun job = task.step.job;
--- a/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
@@ -264,5 +264,36 @@
             assertThat(orders.starts).hasSize(2);
             assertThat(orders.lastStart().worker()).isEqualTo(Samples.workerId(2));
         }
+
+        /**
+         * Guards against a worker beyond its capacity (LIMIT): the former run of a task turns out
+         * to be done, and the present one is still being stopped.
+         */
+        @Test
+        void leaveRoomForARunThatIsNoLongerNeeded() {
+            addWorker(1);
+            add(Samples.job(1, Samples.step(1, 10)));
+            plan();
+            RecordedOrders.Start former = orders.lastStart();
+            confirm(former);
+            scheduler.releaseTasks(former.worker(), now);
+            scheduler.deregisterWorker(former.worker());
+            addWorker(2);
+            plan();
+            RecordedOrders.Start present = orders.lastStart();
+            confirm(present);
+            assertThat(present.worker()).isEqualTo(Samples.workerId(2));
+            add(Samples.job(2, Samples.step(1, 10)));
+
+            report(1, List.of(), List.of(end(1, former, RunEnd.DONE)));
+            plan();
+            assertThat(orders.stops).hasSize(1);
+            assertThat(orders.starts).as("the present run is being stopped").hasSize(2);
+
+            now += 10;
+            report(2, List.of(), List.of(end(1, present, RunEnd.STOPPED)));
+            plan();
+            assertThat(orders.starts).hasSize(3);
+        }
     }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -43,6 +43,9 @@
     private static final int SLOW_CALLS_MILLIS = 150;
     private static final long LOST_RENEWALS_INTERVAL_MILLIS = 3_500;
     private static final int FAULT_COUNT = 8;
+    private static final long UNLISTED_INTERVAL_MILLIS = 4_000;
+    private static final int MIN_UNLISTED_MILLIS = 1_000;
+    private static final int UNLISTED_SPREAD_MILLIS = 7_000;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
     private static final long WAVE_MILLIS = 25_000;
@@ -128,7 +131,13 @@
          * The owner is killed once, and the next one reads the jobs for almost as long as a lease
          * of a worker lasts. The lease of no run may expire.
          */
-        SLOW_TAKEOVER
+        SLOW_TAKEOVER,
+        /**
+         * Again and again a worker is cut off from the store, so that its entry is removed for some
+         * seconds, and meanwhile the owner is killed, or frozen until after the next one has taken
+         * over.
+         */
+        UNLISTED_WORKERS
     }
 
     /** An instance, which runs one process at a time. */
@@ -228,6 +237,8 @@
                                 store.jobReadMillis = SLOW_LOAD_MILLIS;
                                 killOwner(FAULT_PERIOD_MILLIS);
                             });
+            case UNLISTED_WORKERS ->
+                    loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
             default -> {
                 store.jobReadMillis = injected == Faults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
                 for (int i = 0; i < FAULT_COUNT; i++) {
@@ -262,6 +273,40 @@
         }
     }
 
+    private void removeEntryAndOwner() {
+        if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
+            return;
+        }
+        loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
+        List<SimulatedWorker> present = instances.workers();
+        SimulatedWorker worker = present.get(random.nextInt(present.size()));
+        long unlistedMillis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
+        faults.add(loop.nowMillis() + ": no entry of " + worker.id + " for " + unlistedMillis);
+        applyFor(
+                unlistedMillis,
+                () -> store.delete("servers//" + worker.id),
+                () -> {
+                    if (instances.workers().contains(worker)) {
+                        register(worker);
+                    }
+                });
+        loop.after(random.nextInt(UNLISTED_SPREAD_MILLIS / 2), this::killOrFreezeOwner);
+    }
+
+    private void killOrFreezeOwner() {
+        if (random.nextBoolean()) {
+            killOwner(RESTART_MILLIS);
+            return;
+        }
+        long millis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
+        for (Node node : nodes) {
+            if (node.process.isAlive() && node.owner.isOwner()) {
+                faults.add(loop.nowMillis() + ": " + node.name + " is frozen for " + millis);
+                node.process.freeze(millis);
+            }
+        }
+    }
+
     private void loseRenewals() {
         if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
             return;
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -44,6 +44,7 @@
             long seed = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
             run(variant, seed);
             run(Variant.PLAIN, Faults.CRASHING_TASK, seed);
+            run(variant, Faults.UNLISTED_WORKERS, seed);
         }
     }
 
@@ -151,6 +152,16 @@
         run(variant, Faults.SLOW_LOADS, seed);
     }
 
+    /**
+     * Guards against a second run of a task whose worker has no entry while the owner changes
+     * (TWICE).
+     */
+    @Property(tries = 200, seed = "7205513348", shrinking = ShrinkingMode.OFF)
+    void runsTasksOfUnlistedWorkersOnce(
+            @ForAll Variant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, Faults.UNLISTED_WORKERS, seed);
+    }
+
     private static void run(Variant variant, long seed) {
         run(variant, Faults.DRAWN, seed);
     }
