Judge a worker by failures that its tasks do not share elsewhere

Cause: three failed runs in a row made a worker a suspect, which got tasks only while it ran none. Only a success reset the count: a lasting task never ends, so neither the count nor the restriction could. Failures of a task that fails everywhere, and of lasting tasks that had served, counted too.

Hypotheses: the workers are suspects for ever, or they are avoided for a time after each failure. The log of the untouched code shows the last start of any task at the third failures and none in the 30 s after, so no time ends it; the job's state stays queued although attempts are left.

WorkerHealth decides now. A failure counts against a worker for 10 s and only until the task or its step fails elsewhere too; a lasting task that served does not count, and one that begins to serve is a success. A suspect gets one task at a time, counted from its last failure, first of jobs that have not failed there; a task without a result delays the next for 1.5 s.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -248,6 +248,7 @@
         String checkpoint = task.step.definition.checkpointing() ? task.checkpoint : "";
         String spec = task.step.job.definition.spec();
         unansweredStarts.recordSent(task.worker, task.ref, task.run, nowMillis);
+        fleet.workers.get(task.worker).health.recordStart(task, nowMillis);
         orders.start(task.worker, new StartOrder(task.ref, task.run, spec, checkpoint));
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -91,7 +91,7 @@
     /** Handles the successful end of a run. */
     void handleSuccess(TrackedTask task, WorkerState worker, boolean currentRun, long nowMillis) {
         JobRun job = task.step.job;
-        worker.consecutiveFailures = 0;
+        worker.health.recordSuccess();
         if (currentRun) {
             estimator.observe(job.definition.queue(), nowMillis - task.stateSinceMillis);
         }
@@ -131,17 +131,19 @@
     }
 
     /** Handles a failed run. The job fails with its last permitted attempt. */
-    void handleFailure(TrackedTask task, long run, WorkerState worker, long nowMillis) {
+    void handleFailure(TrackedTask task, FailedRun run, WorkerState worker, long nowMillis) {
         JobRun job = task.step.job;
         boolean lasting = task.step.definition.lasting();
-        if (!lasting && !task.failedRuns.add(run)) {
+        if (!lasting && !task.failedRuns.add(run.number())) {
             return;
         }
         task.step.markStarted();
         task.failures++;
-        task.lastFailedOn = worker.entry.id();
-        worker.consecutiveFailures++;
-        worker.lastFailureMillis = nowMillis;
+        task.recordFailureOn(worker.entry.id());
+        if (!run.served()) {
+            task.step.recordFailureOn(worker.entry.id(), run.durationMillis());
+            worker.health.recordFailure(task, nowMillis);
+        }
         if (lasting) {
             long wait = LASTING_RETRY_MILLIS << Math.min(task.failures, 4);
             task.retryAtMillis = nowMillis + Math.min(wait, MAX_LASTING_RETRY_MILLIS);
--- a/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Placement.java
@@ -60,7 +60,7 @@
             if (!canRun(task, worker, nowMillis)) {
                 continue;
             }
-            double score = score(task, worker, preference);
+            double score = score(task, worker, preference, nowMillis);
             if (score > bestScore && permitted.test(worker)) {
                 best = worker;
                 bestScore = score;
@@ -83,7 +83,7 @@
         if (!WorkerUse.acceptsNewTasks(worker, nowMillis)) {
             return false;
         }
-        if (worker.isSuspect() && !worker.tasks.isEmpty()) {
+        if (!worker.health.permits(task, nowMillis)) {
             return false;
         }
         if (task.isStrongCrashSuspect()
@@ -99,7 +99,10 @@
     }
 
     private static double score(
-            TrackedTask task, WorkerState worker, ToDoubleFunction<WorkerState> preference) {
+            TrackedTask task,
+            WorkerState worker,
+            ToDoubleFunction<WorkerState> preference,
+            long nowMillis) {
         double score = preference.applyAsDouble(worker);
         if (task.step.definition.dataRack().filter(worker.entry.rack()::equals).isPresent()) {
             score += DATA_RACK_BONUS;
@@ -110,7 +113,7 @@
         if (worker.entry.id().equals(task.lastFailedOn)) {
             score -= FAILED_HERE_PENALTY;
         }
-        if (worker.isSuspect()) {
+        if (worker.health.isSuspect(nowMillis)) {
             score -= SUSPECT_PENALTY;
         }
         if (worker.entry.coldRemainingMillis() > 0) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolTurn.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolTurn.java
@@ -68,12 +68,13 @@
 
     /**
      * Whether other tasks with the need of this one do not fit either. A gang that does not fit
-     * returns what its first tasks took.
+     * returns what its first tasks took, and a suspected worker may refuse the task for its job.
      */
-    private static boolean failsForAll(TrackedTask task) {
+    private boolean failsForAll(TrackedTask task) {
         return task.step.definition.maxPerWorker() == 0
                 && !task.step.definition.gang()
-                && !task.isStrongCrashSuspect();
+                && !task.isStrongCrashSuspect()
+                && workers.stream().noneMatch(w -> w.health.holdsBack(task, nowMillis));
     }
 
     private static double usedPart(Collection<WorkerState> workers) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -6,12 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.task.StepDefinition;
 import org.quetzalscale.core.task.StepProgress;
 import org.quetzalscale.core.task.TaskRef;
 
 /** A step in one occurrence of a job, with the state of its tasks. */
 final class StepRun {
+    /** A run that lasts this many times as long as any failed one of its step will succeed. */
+    private static final long SUCCESS_FACTOR = 2;
+
     final JobRun job;
     final int occurrence;
     final int number;
@@ -19,6 +23,9 @@
     final List<TrackedTask> tasks;
     private int done;
     private boolean started;
+    private WorkerId failedOn;
+    private boolean failedOnSeveral;
+    private long longestFailedMillis;
 
     StepRun(JobRun job, int occurrence, int number, StepDefinition definition) {
         this.job = job;
@@ -58,6 +65,27 @@
         started = true;
     }
 
+    void recordFailureOn(WorkerId worker, long durationMillis) {
+        failedOnSeveral |= failedOn != null && !failedOn.equals(worker);
+        failedOn = worker;
+        longestFailedMillis = Math.max(longestFailedMillis, durationMillis);
+    }
+
+    /**
+     * Whether tasks of the step fail on several workers and succeed on none. A run that has lasted
+     * much longer than the failed ones counts as a success.
+     */
+    boolean failsEverywhere(long nowMillis) {
+        return failedOnSeveral
+                && done == 0
+                && tasks.stream().noneMatch(t -> outlasts(t, nowMillis));
+    }
+
+    private boolean outlasts(TrackedTask task, long nowMillis) {
+        return task.state == TrackedTask.State.RUNNING
+                && nowMillis - task.stateSinceMillis > SUCCESS_FACTOR * longestFailedMillis;
+    }
+
     /** Restores the progress that an earlier owner recorded. */
     void restore(StepProgress progress, long nowMillis) {
         progress.done().stream()
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -30,6 +30,10 @@
     State state = State.WAITING;
     WorkerId worker;
     WorkerId lastFailedOn;
+
+    /** Whether the task has failed on several workers. */
+    boolean failedElsewhere;
+
     long run;
     String checkpoint = "";
     int failures;
@@ -73,6 +77,11 @@
         this.step = step;
     }
 
+    void recordFailureOn(WorkerId failedOn) {
+        failedElsewhere |= lastFailedOn != null && !lastFailedOn.equals(failedOn);
+        lastFailedOn = failedOn;
+    }
+
     /** Adds the failed runs that an earlier owner recorded. */
     void restoreFailures(Set<Long> recorded) {
         failedRuns.addAll(recorded);
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
@@ -48,7 +48,7 @@
             return;
         }
         worker.reported = false;
-        worker.consecutiveFailures = 0;
+        worker.health.reset();
         crashAttribution.recordCrash(worker, nowMillis);
         worker.leftAsPlanned = false;
         unansweredStarts.stopAll(worker.entry.id(), nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -67,6 +67,7 @@
         if (current && task.run > end.run()) {
             return;
         }
+        FailedRun failedRun = FailedRun.of(task, end.run(), current, nowMillis);
         if (current) {
             jobs.release(task, nowMillis);
         }
@@ -75,7 +76,7 @@
             jobs.recordCheckpoint(task, end.checkpoint());
         }
         if (end.end() == RunEnd.FAILED) {
-            jobs.handleFailure(task, end.run(), worker, nowMillis);
+            jobs.handleFailure(task, failedRun, worker, nowMillis);
         }
     }
 
@@ -86,7 +87,7 @@
             if (task.state == TrackedTask.State.STARTING) {
                 task.transitionTo(TrackedTask.State.RUNNING, nowMillis);
             }
-            updateProgress(task, running, nowMillis);
+            updateProgress(task, worker, running, nowMillis);
             return;
         }
         if (task != null && task.state == TrackedTask.State.WAITING && running.run() >= task.run) {
@@ -103,13 +104,17 @@
         task.run = running.run();
         task.step.markStarted();
         fleet.assign(task, worker, TrackedTask.State.RUNNING, nowMillis);
-        updateProgress(task, running, nowMillis);
+        updateProgress(task, worker, running, nowMillis);
     }
 
-    private static void updateProgress(TrackedTask task, RunningTask running, long nowMillis) {
+    private static void updateProgress(
+            TrackedTask task, WorkerState worker, RunningTask running, long nowMillis) {
         if (running.percent() != task.percent) {
             task.percent = running.percent();
             task.lastProgressMillis = nowMillis;
+            if (task.isShownHarmless()) {
+                worker.health.recordSuccess();
+            }
         }
         task.load = running.load();
         if (!running.checkpoint().isEmpty()) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -11,9 +11,6 @@
 
 /** A worker with the tasks and resources assigned to it. */
 final class WorkerState {
-    /** Number of consecutive failures after which a worker gets one task at a time. */
-    private static final int SUSPECT_FAILURES = 3;
-
     /** Above the rounding errors of sums of processors. Plans ask most workers in vain. */
     private static final double CORE_TOLERANCE = 1e-3;
 
@@ -66,8 +63,7 @@
     /** Start of the newest known incarnation in Unix milliseconds; 0 if unknown. */
     long startedEpochMillis;
 
-    int consecutiveFailures;
-    long lastFailureMillis;
+    final WorkerHealth health = new WorkerHealth();
     Resources used = Resources.NONE;
     final Map<TaskRef, TrackedTask> tasks = new LinkedHashMap<>();
 
@@ -98,10 +94,6 @@
         return unresponsive && nowMillis - unresponsiveSinceMillis >= millis;
     }
 
-    boolean isSuspect() {
-        return consecutiveFailures >= SUSPECT_FAILURES;
-    }
-
     boolean hasCapacityFor(Resources need) {
         if (need.cores() > freeCores() + CORE_TOLERANCE) {
             return false;
