--- a/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/CrashAttribution.java
@@ -49,8 +49,8 @@
         int limit = suspects.size() == 1 ? MAX_CRASHES_ALONE : MAX_CRASHES;
         for (TrackedTask task : suspects) {
             jobs.recordCrash(task);
-            if (task.crashedRuns.size() >= limit && !task.step.job.phase.isFinal()) {
-                listener.taskGivenUp(task.ref, task.crashedRuns.size());
+            if (task.crashedRuns().size() >= limit && !task.step.job.phase.isFinal()) {
+                listener.taskGivenUp(task.ref, task.crashedRuns().size());
                 jobs.endJob(task.step.job, JobPhase.FAILED, nowMillis);
             }
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -116,7 +116,7 @@
         }
         usage.remove(task.step.job.definition.organisation(), task.step.definition.need());
         if (task.isShownHarmless()) {
-            task.crashedRuns.clear();
+            task.clearCrashes();
         }
         task.worker = null;
         task.percent = 0;
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -54,7 +54,7 @@
 
     /** Counts a run whose worker crashed. */
     void recordCrash(TrackedTask task) {
-        task.crashedRuns.add(task.run);
+        task.addCrashedRun(task.run);
         task.step.markStarted();
         changed.add(task.step.job);
     }
@@ -134,7 +134,7 @@
     void handleFailure(TrackedTask task, FailedRun run, WorkerState worker, long nowMillis) {
         JobRun job = task.step.job;
         boolean lasting = task.step.definition.lasting();
-        if (!lasting && !task.failedRuns.add(run.number())) {
+        if (!lasting && !task.addFailedRun(run.number())) {
             return;
         }
         task.step.markStarted();
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -110,11 +110,11 @@
                 finished.set(index);
                 continue;
             }
-            if (!task.failedRuns.isEmpty()) {
-                failures.put(index, task.failedRuns);
+            if (!task.failedRuns().isEmpty()) {
+                failures.put(index, task.failedRuns());
             }
-            if (!task.crashedRuns.isEmpty()) {
-                crashes.put(index, task.crashedRuns);
+            if (!task.crashedRuns().isEmpty()) {
+                crashes.put(index, task.crashedRuns());
             }
             if (!task.checkpoint.isEmpty()) {
                 checkpoints.put(index, task.checkpoint);
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -1,7 +1,7 @@
 package org.quetzalscale.core.schedule;
 
+import java.util.HashSet;
 import java.util.Set;
-import java.util.TreeSet;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.task.TaskRef;
 
@@ -42,10 +42,10 @@
      * Numbers of the failed runs, each counted once: a worker may report the same end again to a
      * later owner.
      */
-    final Set<Long> failedRuns = new TreeSet<>();
+    private Set<Long> failedRuns = Set.of();
 
     /** Numbers of the runs whose workers crashed. */
-    final Set<Long> crashedRuns = new TreeSet<>();
+    private Set<Long> crashedRuns = Set.of();
 
     int percent;
     int pacePercent = 100;
@@ -82,16 +82,49 @@
         lastFailedOn = failedOn;
     }
 
+    /** Numbers of the failed runs; an immutable set. */
+    Set<Long> failedRuns() {
+        return failedRuns;
+    }
+
+    /** Numbers of the runs whose workers crashed; an immutable set. */
+    Set<Long> crashedRuns() {
+        return crashedRuns;
+    }
+
+    /** Adds a failed run. Returns false if it is known. */
+    boolean addFailedRun(long number) {
+        Set<Long> before = failedRuns;
+        failedRuns = union(before, Set.of(number));
+        return failedRuns.size() > before.size();
+    }
+
+    /** Adds a run whose worker crashed. */
+    void addCrashedRun(long number) {
+        crashedRuns = union(crashedRuns, Set.of(number));
+    }
+
+    /** Forgets the crashes, because the task was not their cause. */
+    void clearCrashes() {
+        crashedRuns = Set.of();
+    }
+
+    private static Set<Long> union(Set<Long> some, Set<Long> others) {
+        Set<Long> all = new HashSet<>(some);
+        all.addAll(others);
+        return Set.copyOf(all);
+    }
+
     /** Adds the failed runs that an earlier owner recorded. */
     void restoreFailures(Set<Long> recorded) {
-        failedRuns.addAll(recorded);
+        failedRuns = union(failedRuns, recorded);
         failures = failedRuns.size();
         recorded.forEach(this::skipRunsUpTo);
     }
 
     /** Adds the runs whose workers crashed, as an earlier owner recorded them. */
     void restoreCrashes(Set<Long> recorded) {
-        crashedRuns.addAll(recorded);
+        crashedRuns = union(crashedRuns, recorded);
         recorded.forEach(this::skipRunsUpTo);
     }
 
--- a/core/src/main/java/org/quetzalscale/core/task/StepProgress.java
+++ b/core/src/main/java/org/quetzalscale/core/task/StepProgress.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.core.task;
 
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,11 +21,17 @@
         Map<Integer, Set<Long>> failures,
         Map<Integer, Set<Long>> crashes,
         Map<Integer, String> checkpoints) {
-    /** Copies the collections. */
+    /** Copies the collections, and those in them. */
     public StepProgress {
         done = (BitSet) done.clone();
-        failures = Map.copyOf(failures);
-        crashes = Map.copyOf(crashes);
+        failures = copy(failures);
+        crashes = copy(crashes);
         checkpoints = Map.copyOf(checkpoints);
     }
+
+    private static Map<Integer, Set<Long>> copy(Map<Integer, Set<Long>> runs) {
+        Map<Integer, Set<Long>> copy = new HashMap<>();
+        runs.forEach((index, numbers) -> copy.put(index, Set.copyOf(numbers)));
+        return Map.copyOf(copy);
+    }
 }
--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -156,6 +156,27 @@
             assertThat(orders.starts).hasSize(Samples.MAX_ATTEMPTS);
             assertThat(orders.lastStart().order().run()).isGreaterThan(1_000);
         }
+
+        /**
+         * Guards against an attempt too many (BUDGET): a record that is written late contained the
+         * last failure without the end of the job, so the next owner knew the failure and started
+         * the task again.
+         */
+        @Test
+        void leaveARecordAsItWasWhenItWasTaken() {
+            addWorker(1);
+            add(Samples.job(1, Samples.step(1, 1)));
+            List<JobProgress> records = new ArrayList<>();
+            for (int attempt = 1; attempt <= Samples.MAX_ATTEMPTS; attempt++) {
+                plan();
+                confirm(orders.lastStart());
+                report(1, List.of(), List.of(end(attempt, orders.lastStart(), RunEnd.FAILED)));
+                records.addAll(scheduler.takeChangedJobs());
+            }
+
+            assertThat(records.get(0).steps().get(0).failures().get(0)).hasSize(1);
+            assertThat(records.get(1).steps().get(0).failures().get(0)).hasSize(2);
+        }
     }
 
     @Nested
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -217,7 +217,10 @@
         if (!runs.isEmpty()) {
             ObjectNode byIndex = node.putObject(field);
             runs.forEach(
-                    (index, numbers) -> numbers.forEach(byIndex.putArray(index.toString())::add));
+                    (index, numbers) ->
+                            numbers.stream()
+                                    .sorted()
+                                    .forEach(byIndex.putArray(index.toString())::add));
         }
     }
 
