Extend no lease of a worker just after a pause of the owner

A new owner starts tasks elsewhere once the leases that it can know of have expired: 1.5 s after the takeover for the former owner to notice it, and one lease. A former owner that was paused for longer notices it later, and its first renewals would prolong runs on workers that the new owner cannot call (TWICE). The limit stood for knowledge, as in the takeover itself.

OrderGate knows of pauses already: renewals after one carry no new end of the lease until the store confirms the owner's lease, or for 500 ms, in which workers that follow another owner reject a renewal. While the store is away for all, leases are extended after that, so that work is kept.

Shown at the level of the decision only (two new tests in OrderGateTest).

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
@@ -11,8 +11,8 @@
 
 /**
  * Calls to workers whose orders are sent while an {@link OrderGate} is open. Renewals always are:
- * they start nothing, keep running work alive while the store is away, and their answers tell of a
- * newer owner.
+ * they start nothing, and their answers tell of a newer owner. Just after a pause, they extend no
+ * lease.
  */
 record GatedWorkerCalls(WorkerCalls calls, OrderGate gate) implements WorkerCalls {
     @Override
@@ -46,6 +46,7 @@
             long acknowledged,
             int waitMillis,
             long fence) {
-        return calls.renew(worker, leaseClockMillis, acknowledged, waitMillis, fence);
+        long permittedMillis = gate.permitsLeaseExtension() ? leaseClockMillis : 0;
+        return calls.renew(worker, permittedMillis, acknowledged, waitMillis, fence);
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
@@ -22,11 +22,16 @@
 final class OrderGate {
     private static final long RETRY_DELAY_MILLIS = 50;
 
+    /** Time in which a worker that follows another owner rejects a renewal. */
+    private static final long REJECTION_MILLIS = 500;
+
     private final FeedTable table;
+    private final LoopClock clock;
     private final Condition fence;
     private final WorkerSession.Term term;
     private final Supplier<CompletionStage<Void>> operatorRead;
     private final PauseGate gate;
+    private long closedMillis;
 
     /**
      * Creates a gate that is open.
@@ -40,6 +45,7 @@
             WorkerSession.Term term,
             Supplier<CompletionStage<Void>> operatorRead) {
         this.table = table;
+        this.clock = clock;
         this.fence = fence;
         this.term = term;
         this.operatorRead = operatorRead;
@@ -61,7 +67,18 @@
         return gate.isOpen();
     }
 
+    /**
+     * Whether renewals may extend the leases of workers. After a pause they may not before the
+     * lease is confirmed, or another owner's workers had the time to reject a renewal: that owner
+     * starts tasks elsewhere when the leases that it knows of have expired. If neither happens, the
+     * store is away, and leases are extended to keep work alive.
+     */
+    boolean permitsLeaseExtension() {
+        return gate.isOpen() || clock.nowMillis() - closedMillis >= REJECTION_MILLIS;
+    }
+
     private void closed() {
+        closedMillis = clock.nowMillis();
         Logger.info("event=owner_paused fence={}", fence.version());
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
@@ -128,6 +128,37 @@
         assertThat(sent).containsExactly("third");
     }
 
+    /**
+     * Guards against a former owner that prolongs runs which the present one takes for ended: it
+     * was paused while its lease was taken, and renews a worker that the present owner cannot call.
+     */
+    @Test
+    void permitsNoLeaseExtensionBeforeTheLeaseIsConfirmed() {
+        loop.runUntil(5_000);
+        assertThat(gate.permitsLeaseExtension()).isTrue();
+        process.freeze(FREEZE_MILLIS);
+        loop.runUntil(5_000 + FREEZE_MILLIS - 1);
+        List<Boolean> permitted = new ArrayList<>();
+        process.run(() -> permitted.add(gate.permitsLeaseExtension()));
+        loop.runUntil(10_000);
+        process.run(() -> permitted.add(gate.permitsLeaseExtension()));
+
+        assertThat(permitted).containsExactly(false, true);
+    }
+
+    /** Guards against work that ends while the store is away, because its owner was paused once. */
+    @Test
+    void permitsLeaseExtensionsWhileTheStoreStaysAway() {
+        loop.runUntil(5_000);
+        store.unavailable = true;
+        process.freeze(FREEZE_MILLIS);
+        order("notices the pause");
+        loop.runUntil(10_000);
+
+        assertThat(gate.isOpen()).isFalse();
+        assertThat(gate.permitsLeaseExtension()).isTrue();
+    }
+
     /** Guards against starts in a zone that operators evacuate since a moment of the pause. */
     @Test
     void staysClosedUntilItIsReadWhatOperatorsWrote() {
