Hold state only for tasks of occurrences that are open

Cause: an owner created the state of each task of each occurrence when it read a job, about 300 bytes each, 60 MB a job. Hypotheses: the heap is full, or the plan never ends over 830,000 tasks.

JobOccurrences opens an occurrence 2 s before it is due, or when a worker reports a run of it, closes it when it is done, and takes one bit for each other one, in memory and in the record of progress, which grew with each occurrence as well. The state of tasks goes when their job ends, not 3 minutes later.

An owner of an earlier release does not read the bits of done occurrences, and would run them again in a rolling upgrade with repeated jobs.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.share.Resources;
-import org.quetzalscale.core.task.Recurrence;
 import org.quetzalscale.core.task.StartOrder;
 
 /**
@@ -95,21 +94,15 @@
             PoolId pool, FleetPolicy policy, long nowMillis, long epochMillis) {
         List<StepRanking.Candidate> found = new ArrayList<>();
         for (JobRun job : fleet.activeJobs(pool)) {
+            job.occurrences.openDueBy(epochMillis + PoolDemand.LEAD_MILLIS);
             if (job.held || job.progressUnreadable) {
                 continue;
             }
             QueuePolicy queue = policy.queues().get(job.definition.queue());
-            Recurrence recurrence = job.definition.recurrence();
-            for (int occurrence = 0; occurrence < job.occurrenceCount(); occurrence++) {
-                long dueIn = Math.max(0, recurrence.dueEpochMillis(occurrence) - epochMillis);
-                if (dueIn > 0) {
-                    break;
-                }
-                long due = recurrence.count() == 0 ? job.acceptedMillis : nowMillis;
-                for (StepRun step : job.steps(occurrence)) {
-                    if (hasStartableTask(step, nowMillis) && isReadySoon(step, nowMillis)) {
-                        found.add(ranking.candidate(step, queue, due, nowMillis));
-                    }
+            long due = job.definition.recurrence().count() == 0 ? job.acceptedMillis : nowMillis;
+            for (StepRun step : job.stepsDueBy(epochMillis)) {
+                if (hasStartableTask(step, nowMillis) && isReadySoon(step, nowMillis)) {
+                    found.add(ranking.candidate(step, queue, due, nowMillis));
                 }
             }
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
@@ -12,6 +12,7 @@
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.task.JobPhase;
+import org.quetzalscale.core.task.StepDefinition;
 
 /**
  * Read-only view of an owner's pools, queues and jobs for operators, with the reason why a job
@@ -94,10 +95,18 @@
             return Optional.empty();
         }
         List<StepView> steps = new ArrayList<>();
-        for (int occurrence = 0; occurrence < job.occurrenceCount(); occurrence++) {
-            for (StepRun step : job.steps(occurrence)) {
-                steps.add(stepView(step, nowMillis));
+        for (List<StepRun> occurrence : job.occurrences.open().values()) {
+            occurrence.forEach(step -> steps.add(stepView(step, nowMillis)));
+        }
+        if (job.phase.isFinal()) {
+            if (steps.isEmpty()) {
+                steps.addAll(viewsWithoutTasks(job, 0, WaitReason.JOB_ENDED));
             }
+        } else if (job.occurrences.next() < job.occurrences.count()) {
+            int next = job.occurrences.next();
+            boolean due = job.isDueBy(next, scheduler.epochMillis());
+            steps.addAll(
+                    viewsWithoutTasks(job, next, due ? WaitReason.OPEN_TASKS : WaitReason.NOT_DUE));
         }
         return Optional.of(
                 new JobView(job.definition.queue(), job.definition.pool(), phase(job), steps));
@@ -158,6 +167,16 @@
         return new PoolView(workers.size(), unresponsive, drained, tasks, used, cores);
     }
 
+    /** The steps of an occurrence that is not open. Tasks of a job that has ended do not wait. */
+    private static List<StepView> viewsWithoutTasks(JobRun job, int occurrence, WaitReason reason) {
+        List<StepView> views = new ArrayList<>();
+        for (StepDefinition step : job.definition.steps()) {
+            int waiting = reason == WaitReason.JOB_ENDED ? 0 : step.count();
+            views.add(new StepView(occurrence, views.size(), waiting, 0, 0, 0, reason));
+        }
+        return views;
+    }
+
     private StepView stepView(StepRun step, long nowMillis) {
         int waiting = 0;
         int running = 0;
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -139,6 +139,7 @@
      * known.
      *
      * @param acceptedMillis when the job was accepted, on this owner's monotonic clock
+     * @throws IndexOutOfBoundsException if the progress does not fit the definition
      */
     public void addJob(
             JobDefinition definition,
@@ -148,10 +149,14 @@
         if (fleet.jobs.containsKey(definition.id())) {
             return;
         }
-        JobRun job = new JobRun(definition, acceptedMillis);
-        recorded.ifPresent(progress -> job.restore(progress, nowMillis));
+        JobRun job = new JobRun(definition, acceptedMillis, fleet.openTasks);
+        recorded.ifPresent(progress -> restore(job, progress, nowMillis));
         fleet.addJob(job);
         excess.add(definition);
+        if (!job.phase.isFinal()) {
+            job.occurrences.openDueBy(epochMillis + PoolDemand.LEAD_MILLIS);
+        }
+        endIfDone(job, nowMillis);
     }
 
     /**
@@ -180,7 +185,20 @@
             return;
         }
         job.restore(recorded, nowMillis);
-        if (job.allDone()) {
+        endIfDone(job, nowMillis);
+    }
+
+    private static void restore(JobRun job, JobProgress recorded, long nowMillis) {
+        try {
+            job.restore(recorded, nowMillis);
+        } catch (IndexOutOfBoundsException e) {
+            job.occurrences.closeAll();
+            throw e;
+        }
+    }
+
+    private void endIfDone(JobRun job, long nowMillis) {
+        if (!job.phase.isFinal() && job.allDone()) {
             jobs.endJob(job, JobPhase.COMPLETED, nowMillis);
         }
     }
@@ -464,7 +482,10 @@
 
     /** Removes a job whose rows were deleted. */
     public void removeJob(JobId id) {
-        fleet.jobs.remove(id);
+        JobRun removed = fleet.jobs.remove(id);
+        if (removed != null) {
+            removed.occurrences.closeAll();
+        }
         excess.remove(id);
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
@@ -19,6 +20,7 @@
     final Map<JobId, JobRun> jobs = new LinkedHashMap<>();
     final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
     final OrganisationUsage usage = new OrganisationUsage();
+    final OpenTasks openTasks = new OpenTasks();
 
     /** Jobs that have not ended, by pool and in the order in which they were added. */
     private final Map<PoolId, Set<JobRun>> active = new LinkedHashMap<>();
@@ -87,7 +89,15 @@
         return pools.getOrDefault(pool, Map.of()).values();
     }
 
-    /** Returns the task, or null if no known job has it. */
+    /** The resources that a run of the task uses; empty if no known job has the task. */
+    Optional<Resources> reservedBy(TaskRef ref) {
+        return Optional.ofNullable(jobs.get(ref.job()))
+                .map(job -> job.definition.steps())
+                .filter(steps -> ref.step() < steps.size())
+                .map(steps -> steps.get(ref.step()).reserved());
+    }
+
+    /** Returns the task, or null if no known job has it or it needs no more runs. */
     TrackedTask task(TaskRef ref) {
         JobRun job = jobs.get(ref.job());
         return job == null ? null : job.task(ref);
@@ -102,6 +112,7 @@
         task.transitionTo(state, nowMillis);
         worker.tasks.put(task.ref, task);
         worker.used = worker.used.plus(task.step.definition.reserved());
+        task.step.recordAssigned();
         usage.add(task.step.job.definition.organisation(), task.step.definition.need());
     }
 
@@ -115,6 +126,7 @@
                             : worker.used.minus(task.step.definition.reserved());
         }
         usage.remove(task.step.job.definition.organisation(), task.step.definition.need());
+        task.step.recordUnassigned();
         if (task.isShownHarmless()) {
             task.clearCrashes();
         }
@@ -127,5 +139,8 @@
         task.stopAnsweredMillis = 0;
         boolean ended = task.step.job.phase.isFinal();
         task.transitionTo(ended ? TrackedTask.State.DROPPED : TrackedTask.State.WAITING, nowMillis);
+        if (ended) {
+            task.step.job.occurrences.closeIfIdle(task.step.occurrence);
+        }
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -100,6 +100,7 @@
             markDone(member, currentRun || member != task, nowMillis);
         }
         changed.add(job);
+        job.occurrences.closeIfDone(task.step.occurrence);
         if (!job.phase.isFinal() && job.allDone()) {
             endJob(job, JobPhase.COMPLETED, nowMillis);
         }
@@ -162,12 +163,13 @@
         job.phase = phase;
         fleet.deactivate(job);
         changed.add(job);
-        for (int occurrence = 0; occurrence < job.occurrenceCount(); occurrence++) {
+        for (int occurrence : List.copyOf(job.occurrences.open().keySet())) {
             for (StepRun step : job.steps(occurrence)) {
                 for (TrackedTask task : step.tasks) {
                     endTask(task, nowMillis);
                 }
             }
+            job.occurrences.closeIfIdle(occurrence);
         }
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
@@ -15,8 +15,7 @@
     /** When the job was accepted, on the owner's monotonic clock in milliseconds. */
     final long acceptedMillis;
 
-    /** The steps of each occurrence. */
-    private final List<List<StepRun>> occurrences = new ArrayList<>();
+    final JobOccurrences occurrences;
 
     JobPhase phase = JobPhase.QUEUED;
 
@@ -29,52 +28,44 @@
      */
     boolean progressUnreadable;
 
-    JobRun(JobDefinition definition, long acceptedMillis) {
+    JobRun(JobDefinition definition, long acceptedMillis, OpenTasks openTasks) {
         this.definition = definition;
         this.acceptedMillis = acceptedMillis;
-        for (int occurrence = 0; occurrence < definition.recurrence().occurrences(); occurrence++) {
-            List<StepRun> steps = new ArrayList<>(definition.steps().size());
-            for (int number = 0; number < definition.steps().size(); number++) {
-                steps.add(new StepRun(this, occurrence, number, definition.steps().get(number)));
-            }
-            occurrences.add(steps);
-        }
-    }
-
-    int occurrenceCount() {
-        return occurrences.size();
+        this.occurrences = new JobOccurrences(this, openTasks);
     }
 
+    /** The steps of an open occurrence. */
     List<StepRun> steps(int occurrence) {
-        return occurrences.get(occurrence);
+        return occurrences.steps(occurrence);
     }
 
-    /** The steps of all occurrences that are due at the given time. */
+    /** The steps of all open occurrences that are due at the given time. */
     List<StepRun> stepsDueBy(long epochMillis) {
         List<StepRun> due = new ArrayList<>();
-        for (int occurrence = 0; occurrence < occurrences.size(); occurrence++) {
-            if (definition.recurrence().dueEpochMillis(occurrence) > epochMillis) {
-                break;
-            }
-            due.addAll(occurrences.get(occurrence));
-        }
+        occurrences
+                .open()
+                .forEach(
+                        (occurrence, steps) -> {
+                            if (isDueBy(occurrence, epochMillis)) {
+                                due.addAll(steps);
+                            }
+                        });
         return due;
     }
 
-    /** Returns the task, or null if the job has no such task. */
+    boolean isDueBy(int occurrence, long epochMillis) {
+        return definition.recurrence().dueEpochMillis(occurrence) <= epochMillis;
+    }
+
+    /** Returns the task, or null if the job has no such task or it needs no more runs. */
     TrackedTask task(TaskRef ref) {
-        if (ref.occurrence() >= occurrences.size()
-                || ref.step() >= occurrences.get(ref.occurrence()).size()) {
-            return null;
-        }
-        List<TrackedTask> tasks = occurrences.get(ref.occurrence()).get(ref.step()).tasks;
-        return ref.index() < tasks.size() ? tasks.get(ref.index()) : null;
+        return occurrences.task(ref);
     }
 
     /** Whether all steps that this step depends on are done. */
     boolean isReady(StepRun step) {
         for (int earlier : step.definition.after()) {
-            if (!occurrences.get(step.occurrence).get(earlier).isDone()) {
+            if (!steps(step.occurrence).get(earlier).isDone()) {
                 return false;
             }
         }
@@ -82,31 +73,34 @@
     }
 
     boolean allDone() {
-        return occurrences.stream().allMatch(steps -> steps.stream().allMatch(StepRun::isDone));
+        return occurrences.allDone();
     }
 
     boolean hasStarted() {
-        return occurrences.stream().anyMatch(steps -> steps.stream().anyMatch(StepRun::hasStarted));
+        return occurrences.hasStarted();
     }
 
     void restore(JobProgress progress, long nowMillis) {
         phase = progress.phase();
-        for (StepProgress step : progress.steps()) {
-            if (step.occurrence() < occurrences.size()
-                    && step.step() < occurrences.get(step.occurrence()).size()) {
-                occurrences.get(step.occurrence()).get(step.step()).restore(step, nowMillis);
+        occurrences.restoreDone(progress.doneOccurrences());
+        for (StepProgress recorded : progress.steps()) {
+            StepRun step = occurrences.recordedStep(recorded.occurrence(), recorded.step());
+            if (step != null) {
+                step.restore(recorded, nowMillis);
             }
         }
+        progress.steps().forEach(step -> occurrences.closeIfDone(step.occurrence()));
     }
 
     JobProgress progress() {
-        List<StepProgress> steps = new ArrayList<>();
-        if (!phase.isFinal()) {
-            occurrences.stream()
-                    .flatMap(List::stream)
-                    .filter(StepRun::hasStarted)
-                    .forEach(step -> steps.add(step.progress()));
+        if (phase.isFinal()) {
+            return new JobProgress(definition.id(), phase, List.of());
         }
-        return new JobProgress(definition.id(), phase, steps);
+        List<StepProgress> steps = new ArrayList<>();
+        occurrences.open().values().stream()
+                .flatMap(List::stream)
+                .filter(StepRun::hasStarted)
+                .forEach(step -> steps.add(step.progress()));
+        return new JobProgress(definition.id(), phase, occurrences.done(), steps);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolDemand.java
@@ -11,7 +11,7 @@
     /**
      * An occurrence counts from this long before it is due, because moving instances takes time.
      */
-    private static final long LEAD_MILLIS = 2_000;
+    static final long LEAD_MILLIS = 2_000;
 
     /** Mean fraction of its run time that a running task still needs. */
     private static final double RUNNING_REMAINDER = 0.5;
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -22,6 +22,7 @@
     final StepDefinition definition;
     final List<TrackedTask> tasks;
     private int done;
+    private int assigned;
     private boolean started;
     private WorkerId failedOn;
     private boolean failedOnSeveral;
@@ -52,6 +53,19 @@
         return started;
     }
 
+    /** Whether a worker may run a task of the step. */
+    boolean hasAssignedTasks() {
+        return assigned > 0;
+    }
+
+    void recordAssigned() {
+        assigned++;
+    }
+
+    void recordUnassigned() {
+        assigned--;
+    }
+
     void markStarted() {
         started = true;
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WaitReason.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WaitReason.java
@@ -8,6 +8,8 @@
     JOB_ENDED,
     /** The occurrence is not due yet. */
     NOT_DUE,
+    /** The owner holds as many tasks as it may, or the next planning round opens the occurrence. */
+    OPEN_TASKS,
     /**
      * Starts are suspended: an earlier owner may have started runs that this owner does not know.
      */
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -95,7 +95,7 @@
             return;
         }
         worker.orphanedRuns.put(
-                running, task == null ? worker.entry.capacity() : task.step.definition.reserved());
+                running, fleet.reservedBy(running.task()).orElseGet(worker.entry::capacity));
         orders.stop(worker.entry.id(), running.task(), running.run());
     }
 
--- a/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
+++ b/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
@@ -37,4 +37,9 @@
         steps = List.copyOf(steps);
         Objects.requireNonNull(recurrence, "recurrence");
     }
+
+    /** The number of tasks of one occurrence. */
+    public long taskCount() {
+        return steps.stream().mapToLong(StepDefinition::count).sum();
+    }
 }
--- a/core/src/test/java/org/quetzalscale/core/schedule/OnTimeSelectionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/OnTimeSelectionTest.java
@@ -22,7 +22,9 @@
     }
 
     private StepRun step(int tasks, double cores) {
-        JobRun job = new JobRun(Samples.job(++jobs, Samples.step(tasks, cores)), 0);
+        JobRun job =
+                new JobRun(Samples.job(++jobs, Samples.step(tasks, cores)), 0, new OpenTasks());
+        job.occurrences.openDueBy(0);
         return job.steps(0).get(0);
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -156,15 +156,15 @@
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("id", progress.job().value());
         node.put("phase", progress.phase().name());
+        if (!progress.doneOccurrences().isEmpty()) {
+            putBits(node, "doneOccurrences", progress.doneOccurrences());
+        }
         ArrayNode steps = node.putArray("steps");
         for (StepProgress step : progress.steps()) {
             ObjectNode entry = steps.addObject();
             putPositive(entry, "occurrence", step.occurrence());
             putPositive(entry, "step", step.step());
-            ArrayNode done = entry.putArray("done");
-            for (long word : step.done().toLongArray()) {
-                done.add(word);
-            }
+            putBits(entry, "done", step.done());
             putRuns(entry, "failures", step.failures());
             putRuns(entry, "crashes", step.crashes());
             if (!step.checkpoints().isEmpty()) {
@@ -179,11 +179,6 @@
     private static JobProgress readProgress(JsonNode node) {
         List<StepProgress> steps = new ArrayList<>();
         for (JsonNode entry : requiredList(node, "steps")) {
-            JsonNode words = requiredList(entry, "done");
-            long[] done = new long[words.size()];
-            for (int i = 0; i < done.length; i++) {
-                done[i] = words.get(i).asLong();
-            }
             Map<Integer, String> checkpoints = new HashMap<>();
             entry.path("checkpoints")
                     .fields()
@@ -195,7 +190,7 @@
                     new StepProgress(
                             entry.path("occurrence").asInt(),
                             entry.path("step").asInt(),
-                            BitSet.valueOf(done),
+                            readBits(requiredList(entry, "done")),
                             readRuns(entry.path("failures")),
                             readRuns(entry.path("crashes")),
                             checkpoints));
@@ -203,9 +198,25 @@
         return new JobProgress(
                 new JobId(node.path("id").asText()),
                 JobPhase.valueOf(node.path("phase").asText()),
+                readBits(node.path("doneOccurrences")),
                 steps);
     }
 
+    private static void putBits(ObjectNode node, String field, BitSet bits) {
+        ArrayNode words = node.putArray(field);
+        for (long word : bits.toLongArray()) {
+            words.add(word);
+        }
+    }
+
+    private static BitSet readBits(JsonNode words) {
+        long[] bits = new long[words.size()];
+        for (int i = 0; i < bits.length; i++) {
+            bits[i] = words.get(i).asLong();
+        }
+        return BitSet.valueOf(bits);
+    }
+
     private static JsonNode requiredList(JsonNode node, String field) {
         if (!node.path(field).isArray()) {
             throw new IllegalArgumentException(field + ": expected a list");
