Let no error end a reader without a word

The owner read no submission and no cancellation any more and kept its lease.

- Readers of jobs, worker entries and the configuration, and the recorder, log an exception that ends a callback and go on (LoopClock.runOrRetry).
- An owner whose reader of jobs is silent for 15 s gives the fleet to another instance (event=reader_stopped), whatever the cause.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -19,6 +19,7 @@
 import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
 import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
@@ -36,6 +37,10 @@
 final class OwnerTerm implements WorkerSession.Term, OrderSender {
     private static final int FEED_WAIT_MILLIS = 1_000;
     private static final long RETRY_DELAY_MILLIS = 100;
+
+    /** A read of the jobs, with its retries, is answered or fails much earlier. */
+    private static final long MAX_READER_SILENCE_MILLIS = 15_000;
+
     private static final long PLAN_DELAY_MILLIS = 2;
     private static final long PLAN_INTERVAL_MILLIS = 100;
 
@@ -81,6 +86,7 @@
     private boolean scheduling;
     private boolean planPending;
     private long lastPlanMillis;
+    private long jobsReadMillis;
     private String publishedCounts = "";
 
     OwnerTerm(FleetContext services, PolicyWatcher policies, Lease lease, Runnable onFenced) {
@@ -254,6 +260,7 @@
                 .whenComplete(
                         (ignored, failure) -> {
                             if (failure != null) {
+                                clock.reportError(failure);
                                 Logger.warn("event=load_failed cause=\"{}\"", failure.getMessage());
                                 clock.after(RETRY_DELAY_MILLIS, this::load);
                             }
@@ -289,6 +296,7 @@
                 jobs.rows().size(),
                 recorded.progress().size(),
                 clock.nowMillis() - startMillis);
+        jobsReadMillis = clock.nowMillis();
         watchJobs(jobs.version());
         workers.jobsLoaded();
         planPeriodically();
@@ -370,20 +378,27 @@
         context.table()
                 .changesAfter(FleetRows.JOBS, version, FEED_WAIT_MILLIS)
                 .whenComplete(
-                        (changes, failure) -> {
-                            if (ended) {
-                                return;
-                            }
-                            if (failure == null) {
-                                changes.rows().forEach(this::rowChanged);
-                                planSoon();
-                                watchJobs(changes.version());
-                            } else if (StoreFailures.isHistoryLost(failure)) {
-                                rereadJobs();
-                            } else {
-                                clock.after(RETRY_DELAY_MILLIS, () -> watchJobs(version));
-                            }
-                        });
+                        (changes, failure) ->
+                                clock.runOrRetry(
+                                        () -> jobsChanged(version, changes, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        () -> watchJobs(version)));
+    }
+
+    private void jobsChanged(long version, Changes changes, Throwable failure) {
+        if (ended) {
+            return;
+        }
+        jobsReadMillis = clock.nowMillis();
+        if (failure == null) {
+            changes.rows().forEach(this::rowChanged);
+            planSoon();
+            watchJobs(changes.version());
+        } else if (StoreFailures.isHistoryLost(failure)) {
+            rereadJobs();
+        } else {
+            clock.after(RETRY_DELAY_MILLIS, () -> watchJobs(version));
+        }
     }
 
     private void rowChanged(ChangedRow row) {
@@ -400,22 +415,40 @@
         }
         jobRows.read()
                 .whenComplete(
-                        (jobs, failure) -> {
-                            if (failure != null) {
-                                clock.after(RETRY_DELAY_MILLIS, this::rereadJobs);
-                                return;
-                            }
-                            jobs.rows()
-                                    .forEach(
-                                            row ->
-                                                    applyJobRow(
-                                                            row.key(),
-                                                            row.version(),
-                                                            row.value(),
-                                                            RecordedProgress.NONE));
-                            planSoon();
-                            watchJobs(jobs.version());
-                        });
+                        (jobs, failure) ->
+                                clock.runOrRetry(
+                                        () -> jobsReread(jobs, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        this::rereadJobs));
+    }
+
+    private void jobsReread(RowSnapshot jobs, Throwable failure) {
+        jobsReadMillis = clock.nowMillis();
+        if (failure != null) {
+            clock.after(RETRY_DELAY_MILLIS, this::rereadJobs);
+            return;
+        }
+        jobs.rows()
+                .forEach(
+                        row ->
+                                applyJobRow(
+                                        row.key(),
+                                        row.version(),
+                                        row.value(),
+                                        RecordedProgress.NONE));
+        planSoon();
+        watchJobs(jobs.version());
+    }
+
+    /**
+     * Gives the fleet to another instance if the reader of the jobs has stopped for any reason: the
+     * renewals of the lease would go on, and keep it from those who could serve.
+     */
+    private void endIfReaderStopped(long nowMillis) {
+        if (nowMillis - jobsReadMillis >= MAX_READER_SILENCE_MILLIS) {
+            Logger.error("event=reader_stopped reader=jobs fence={}", fence());
+            onFenced.run();
+        }
     }
 
     private void planPeriodically() {
@@ -433,6 +466,10 @@
             return;
         }
         long now = clock.nowMillis();
+        endIfReaderStopped(now);
+        if (ended) {
+            return;
+        }
         releaseRecoveredJobs(now);
         scheduler.plan(now, clock.epochMillis().getAsLong());
         context.metrics().lastingTasksInEvacuatedZones(scheduler.lastingTasksInEvacuatedZones());
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyWatcher.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PolicyWatcher.java
@@ -138,7 +138,13 @@
         if (stopped) {
             return;
         }
-        table.snapshot(rows.prefix()).whenComplete(this::loaded);
+        table.snapshot(rows.prefix())
+                .whenComplete(
+                        (snapshot, failure) ->
+                                clock.runOrRetry(
+                                        () -> loaded(snapshot, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        this::load));
     }
 
     private void loaded(RowSnapshot snapshot, Throwable failure) {
@@ -158,7 +164,12 @@
             return;
         }
         table.changesAfter(rows.table(), version, FEED_WAIT_MILLIS)
-                .whenComplete((changes, failure) -> changesReceived(version, changes, failure));
+                .whenComplete(
+                        (changes, failure) ->
+                                clock.runOrRetry(
+                                        () -> changesReceived(version, changes, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        () -> watch(version)));
     }
 
     private void changesReceived(long version, Changes changes, Throwable failure) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -126,7 +126,12 @@
             transaction.put(rowOf(progress), JobRowCodecs.PROGRESS.encode(progress));
         }
         table.commit(transaction.build())
-                .whenComplete((result, failure) -> commitAnswered(batch, result, failure));
+                .whenComplete(
+                        (result, failure) ->
+                                clock.runOrRetry(
+                                        () -> commitAnswered(batch, result, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        () -> attempt(batch)));
     }
 
     /** A row that cannot be read is overwritten only by the end of its job. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerDirectory.java
@@ -8,7 +8,10 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.lease.WorkerFence;
 import org.quetzalscale.core.table.ChangedRow;
+import org.quetzalscale.core.table.Changes;
+import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.RowSnapshot;
 import org.quetzalscale.core.task.WorkerEntry;
 import org.tinylog.Logger;
 
@@ -75,28 +78,27 @@
         context.table()
                 .snapshot(context.workers().prefix())
                 .whenComplete(
-                        (rows, failure) -> {
-                            if (failure != null) {
-                                clock.after(RETRY_DELAY_MILLIS, this::read);
-                                return;
-                            }
-                            Set<WorkerId> found = new HashSet<>();
-                            rows.rows()
-                                    .forEach(
-                                            row ->
-                                                    StoreFailures.applyOrLog(
-                                                            row.key(),
-                                                            () ->
-                                                                    applyEntry(
-                                                                            row.key(),
-                                                                            row.value(),
-                                                                            found)));
-                            sessions.keySet().stream()
-                                    .filter(id -> !found.contains(id))
-                                    .toList()
-                                    .forEach(this::deregister);
-                            clock.after(POLL_INTERVAL_MILLIS, () -> watch(rows.version()));
-                        });
+                        (rows, failure) ->
+                                clock.runOrRetry(
+                                        () -> entriesRead(rows, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        this::read));
+    }
+
+    private void entriesRead(RowSnapshot rows, Throwable failure) {
+        if (failure != null) {
+            clock.after(RETRY_DELAY_MILLIS, this::read);
+            return;
+        }
+        Set<WorkerId> found = new HashSet<>();
+        for (Row row : rows.rows()) {
+            StoreFailures.applyOrLog(row.key(), () -> applyEntry(row.key(), row.value(), found));
+        }
+        sessions.keySet().stream()
+                .filter(id -> !found.contains(id))
+                .toList()
+                .forEach(this::deregister);
+        clock.after(POLL_INTERVAL_MILLIS, () -> watch(rows.version()));
     }
 
     private void watch(long version) {
@@ -106,23 +108,25 @@
         context.table()
                 .changesAfter(context.workers().table(), version, 0)
                 .whenComplete(
-                        (changes, failure) -> {
-                            if (failure != null && StoreFailures.isHistoryLost(failure)) {
-                                read();
-                                return;
-                            }
-                            long next = version;
-                            if (failure == null) {
-                                changes.rows()
-                                        .forEach(
-                                                row ->
-                                                        StoreFailures.applyOrLog(
-                                                                row.key(), () -> rowChanged(row)));
-                                next = changes.version();
-                            }
-                            long from = next;
-                            clock.after(POLL_INTERVAL_MILLIS, () -> watch(from));
-                        });
+                        (changes, failure) ->
+                                clock.runOrRetry(
+                                        () -> entriesChanged(version, changes, failure),
+                                        RETRY_DELAY_MILLIS,
+                                        () -> watch(version)));
+    }
+
+    private void entriesChanged(long version, Changes changes, Throwable failure) {
+        if (failure != null && StoreFailures.isHistoryLost(failure)) {
+            read();
+            return;
+        }
+        if (failure == null) {
+            for (ChangedRow row : changes.rows()) {
+                StoreFailures.applyOrLog(row.key(), () -> rowChanged(row));
+            }
+        }
+        long next = failure == null ? changes.version() : version;
+        clock.after(POLL_INTERVAL_MILLIS, () -> watch(next));
     }
 
     private void rowChanged(ChangedRow row) {
