Record a cancellation also of a job that is not recorded

Cause: the cancellation of a job without a row was acknowledged without a write, so nothing kept the late submission, which only required that its own row be absent, from being carried out. Hypotheses: the cancellation is lost, or it is recorded and the owner forgets it before the job appears. The record of the untouched code has no write by the DELETE, and the late write returns 200 4.9 s after it.

JobGateway.cancel now writes the cancellation of an unrecorded job in a transaction that requires the job's row to be absent, and the insertion of a job requires that it has no cancellation: the store puts the two in one order. The answer stays 410. A submission after it is refused with 410 (job_cancelled: it never runs) instead of being accepted. The owner deletes such a cancellation like an ended job. A merged transaction takes 33 submissions, as each has a third entry (50 before; the limit is 100).

SubmissionBatcherTest.keepsTheStoresLimits now checks the entries as well; its sizes follow the new limit.

--- a/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
+++ b/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
@@ -38,6 +38,8 @@
     BUDGET_EXHAUSTED(409, RunState.NONE, true),
     /** The operation is not valid in the current state. */
     INVALID_STATE(409, RunState.NONE, false),
+    /** The job was cancelled before its submission was recorded. */
+    JOB_CANCELLED(410, RunState.NOT_RUN, false),
     /** The watch starts at a revision that is no longer kept. */
     REVISION_TOO_OLD(410, RunState.NONE, false),
     /** The body is larger than permitted. */
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -217,12 +217,13 @@
         return job != null && job.progressUnreadable;
     }
 
-    /** Cancels a job and stops its tasks. Does nothing if the job has ended. */
-    public void cancel(JobId id, long nowMillis) {
+    /** Cancels a job and stops its tasks, unless it has ended. Returns whether the job is known. */
+    public boolean cancel(JobId id, long nowMillis) {
         JobRun job = fleet.jobs.get(id);
         if (job != null && !job.phase.isFinal()) {
             jobs.endJob(job, JobPhase.CANCELLED, nowMillis);
         }
+        return job != null;
     }
 
     /** Adds a worker that the platform lists, or updates its entry. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -13,8 +13,10 @@
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.retry.OutageBackoff;
+import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.Row;
+import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -75,7 +77,8 @@
     }
 
     /**
-     * Records a job, unless it is already recorded.
+     * Records a job, unless it is already recorded. The stage fails with JOB_CANCELLED if the job
+     * was cancelled before it was recorded.
      *
      * @param deadlineMillis when the caller stops waiting, on the monotonic clock
      */
@@ -102,24 +105,38 @@
     }
 
     /**
-     * Records a cancellation.
+     * Records a cancellation, also of a job that is not recorded: its submission may be carried out
+     * later, and the insertion of a job requires that it has not been cancelled.
      *
      * @return whether there is such a job
      */
     public CompletionStage<Boolean> cancel(JobId id, long deadlineMillis) {
         return readJob(id, deadlineMillis)
                 .thenCompose(
-                        row -> {
-                            if (row.isEmpty()) {
-                                return CompletableFuture.completedFuture(false);
-                            }
-                            Transaction cancellation =
-                                    Transaction.builder()
-                                            .put(FleetRows.cancellation(row.get().key()), "{}")
-                                            .build();
-                            return retry(() -> table.commit(cancellation), deadlineMillis)
-                                    .thenApply(ignored -> true);
-                        });
+                        row ->
+                                row.isPresent()
+                                        ? cancelRecorded(row.get().key(), deadlineMillis)
+                                        : cancelUnrecorded(FleetRows.job(id), deadlineMillis));
+    }
+
+    private CompletionStage<Boolean> cancelRecorded(RowKey job, long deadlineMillis) {
+        Transaction cancellation =
+                Transaction.builder().put(FleetRows.cancellation(job), "{}").build();
+        return retry(() -> table.commit(cancellation), deadlineMillis).thenApply(ignored -> true);
+    }
+
+    private CompletionStage<Boolean> cancelUnrecorded(RowKey job, long deadlineMillis) {
+        Transaction cancellation =
+                Transaction.builder()
+                        .require(new Condition(job, Condition.ABSENT))
+                        .put(FleetRows.cancellation(job), "{}")
+                        .build();
+        return retry(() -> table.commit(cancellation), deadlineMillis)
+                .thenCompose(
+                        result ->
+                                result.isCommitted()
+                                        ? CompletableFuture.completedFuture(false)
+                                        : cancelRecorded(job, deadlineMillis));
     }
 
     /** Reads the row of a job, which an earlier release may have accepted. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -330,7 +330,7 @@
             return;
         }
         if (FleetRows.isCancellation(key)) {
-            scheduler.cancel(id.get(), clock.nowMillis());
+            cancel(id.get());
             return;
         }
         Optional<JobDefinition> job =
@@ -344,6 +344,16 @@
         addJob(job.get(), recorded, now - Math.max(0, Math.min(MAX_JOB_AGE_MILLIS, age)), now);
     }
 
+    /**
+     * Cancels a job. A cancellation without a job is one of a submission that was not recorded, and
+     * is kept as long as an ended job.
+     */
+    private void cancel(JobId id) {
+        if (!scheduler.cancel(id, clock.nowMillis())) {
+            endedJobs.add(id);
+        }
+    }
+
     /**
      * Adds a job with what is recorded of it. A job with a record that cannot be read, or that does
      * not fit its definition, is held: started from the beginning, it would repeat work.
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/SubmissionBatcher.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/SubmissionBatcher.java
@@ -18,6 +18,7 @@
 import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.retry.OutageBackoff;
 import org.quetzalscale.core.table.CommitResult;
+import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.table.TransactionalTable;
@@ -32,8 +33,8 @@
  * transaction are sent again. All methods run on one event loop.
  */
 final class SubmissionBatcher {
-    /** Each submission has a condition and a write, and a transaction takes 100 entries. */
-    static final int MAX_SUBMISSIONS = 50;
+    /** Each submission has two conditions and a write, and a transaction takes 100 entries. */
+    static final int MAX_SUBMISSIONS = 33;
 
     /** A transaction takes at most 1 MB. */
     private static final long MAX_BYTES = 1_000_000;
@@ -51,6 +52,7 @@
     /** A submission until its caller is answered. */
     private static final class Submission {
         final RowKey key;
+        final RowKey cancellation;
         final String value;
         final long retryUntilMillis;
         final CompletableFuture<Void> result = new CompletableFuture<>();
@@ -60,15 +62,18 @@
 
         Submission(RowKey key, String value, long retryUntilMillis) {
             this.key = key;
+            this.cancellation = FleetRows.cancellation(key);
             this.value = value;
             this.retryUntilMillis = retryUntilMillis;
         }
 
-        /** At most the bytes in a transaction: the key twice, and the value in Base64. */
+        /**
+         * At most the bytes in a transaction: three entries with a key, and the value in Base64.
+         */
         long bytes() {
-            long keyBytes = key.value().getBytes(StandardCharsets.UTF_8).length;
+            long keyBytes = cancellation.value().getBytes(StandardCharsets.UTF_8).length;
             long valueBytes = value.getBytes(StandardCharsets.UTF_8).length;
-            return 2 * (ENTRY_BYTES + keyBytes) + (valueBytes * 4 + 2) / 3;
+            return 3 * (ENTRY_BYTES + keyBytes) + (valueBytes * 4 + 2) / 3;
         }
     }
 
@@ -145,7 +150,9 @@
         for (Submission submission : batch) {
             submission.calls++;
             submission.inFlight = true;
-            transaction.insert(submission.key, submission.value);
+            transaction
+                    .insert(submission.key, submission.value)
+                    .require(new Condition(submission.cancellation, Condition.ABSENT));
         }
         partition.busy = true;
         onTransaction.accept(batch.size());
@@ -191,12 +198,17 @@
         sendWaiting(partition);
     }
 
-    /** Accepts what is recorded now, and keeps the others of a conflict for the next batch. */
+    /**
+     * Accepts what is recorded now, refuses what was cancelled before, and keeps the others of a
+     * conflict for the next batch.
+     */
     private static void onResult(Partition partition, List<Submission> batch, CommitResult result) {
         List<Submission> unsaved = new ArrayList<>();
         for (Submission submission : batch) {
             if (result.isCommitted() || result.conflicts().contains(submission.key)) {
                 submission.result.complete(null);
+            } else if (result.conflicts().contains(submission.cancellation)) {
+                submission.result.completeExceptionally(cancelledBefore());
             } else {
                 submission.calls--;
                 unsaved.add(submission);
@@ -205,6 +217,12 @@
         putBack(partition, unsaved);
     }
 
+    private static QuetzalscaleException cancelledBefore() {
+        return new QuetzalscaleException(
+                ErrorKind.JOB_CANCELLED,
+                "the job was cancelled before it was recorded, and never runs");
+    }
+
     private void onFailure(
             Partition partition, List<Submission> batch, QuetzalscaleException error) {
         long now = clock.nowMillis();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SubmissionBatcherTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SubmissionBatcherTest.java
@@ -41,10 +41,15 @@
             super(new InMemoryFeedTable());
         }
 
+        /** Entries of the largest transaction; the store takes 100. */
+        int largestTransaction;
+
         @Override
         public CompletionStage<CommitResult> commit(Transaction transaction) {
             CompletableFuture<CommitResult> reply = new CompletableFuture<>();
             transactions.add(transaction);
+            int entries = transaction.conditions().size() + transaction.mutations().size();
+            largestTransaction = Math.max(largestTransaction, entries);
             replies.add(reply);
             return reply;
         }
@@ -113,7 +118,8 @@
                 table.answer();
             }
             assertThat(all).allMatch(CompletableFuture::isDone);
-            assertThat(sizes).containsExactly(1L, 50L, 50L, 1L);
+            assertThat(sizes).containsExactly(1L, 33L, 33L, 33L, 2L);
+            assertThat(table.largestTransaction).isLessThanOrEqualTo(100);
         }
 
         @Test
@@ -132,6 +138,28 @@
     /** Guards against jobs that are not recorded because of others in their transaction. */
     @Nested
     class AfterAConflict {
+        /**
+         * Guards against a job that starts although its cancellation was acknowledged (UNASKED).
+         */
+        @Test
+        void refusesWhatWasCancelledAndRecordsTheOthers() {
+            RowKey cancelled = new RowKey("jobs/fleet-1/b");
+            table.commit(
+                    Transaction.builder().put(FleetRows.cancellation(cancelled), "{}").build());
+            table.answer();
+            insert("a");
+            CompletableFuture<Void> refused = insert("b");
+            CompletableFuture<Void> accepted = insert("c");
+            while (table.inFlight() > 0) {
+                table.answer();
+            }
+
+            assertThat(accepted).isCompleted();
+            assertThat(QuetzalscaleException.from(catchThrowable(refused::join)).kind())
+                    .isEqualTo(ErrorKind.JOB_CANCELLED);
+            assertThat(table.read(cancelled).toCompletableFuture().join()).isEmpty();
+        }
+
         @Test
         void acceptsExistingRowsAndRecordsTheOthers() {
             insert("old-1");
