Delete ended jobs as fast as jobs end

An owner deleted the rows of at most 16 ended jobs in 3 s. Where callers' jobs end faster, rows in the store and their state in the owner, also that of cancellations without a job, grew for as long as the fleet ran; a new owner would read them all.

The owner goes on with the next transaction 100 ms later while more jobs are due.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/EndedJobs.java
@@ -23,6 +23,9 @@
 
     private static final long DELETE_INTERVAL_MILLIS = 3_000;
 
+    /** Time between transactions while more jobs are due. */
+    private static final long NEXT_DELETE_MILLIS = 100;
+
     /**
      * How long deleted jobs are remembered: longer than a scan of all jobs takes, which may still
      * return rows that were deleted meanwhile.
@@ -71,10 +74,11 @@
         long now = clock.nowMillis();
         deletedMillis.values().removeIf(since -> now - since >= DELETED_RETENTION_MILLIS);
         List<JobId> due = due();
-        if (!due.isEmpty()) {
+        if (due.isEmpty()) {
+            clock.after(DELETE_INTERVAL_MILLIS, this::deletePeriodically);
+        } else {
             delete(due);
         }
-        clock.after(DELETE_INTERVAL_MILLIS, this::deletePeriodically);
     }
 
     private List<JobId> due() {
@@ -104,6 +108,7 @@
                         (result, failure) -> {
                             if (failure != null || !result.isCommitted()) {
                                 Logger.warn("event=delete_failed jobs={}", due.size());
+                                clock.after(DELETE_INTERVAL_MILLIS, this::deletePeriodically);
                                 return;
                             }
                             FleetScheduler scheduler = term.scheduler();
@@ -112,6 +117,11 @@
                                 deletedMillis.put(id, clock.nowMillis());
                                 scheduler.removeJob(id);
                             }
+                            // A fixed rate would fall behind callers whose jobs end faster.
+                            boolean more = due.size() == MAX_JOBS_PER_TRANSACTION;
+                            clock.after(
+                                    more ? NEXT_DELETE_MILLIS : DELETE_INTERVAL_MILLIS,
+                                    this::deletePeriodically);
                         });
     }
 }
