Wait for a running job in the test of the published load

Its wait, for 19 waiting jobs of 20, also ended on a row that was published when 19 jobs were submitted and none ran yet. It now waits for the row that shows a running one as well; if that never comes, the wait fails. The checks are the same.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
@@ -64,7 +64,10 @@
         for (int number = 1; number <= JOBS; number++) {
             submit(numbered(number));
         }
-        await("the last job", () -> waitingRow().path("quick").asInt() == JOBS - 1);
+        // As many jobs wait just before the last one is submitted, while none runs yet.
+        await(
+                "the last job beside a running one",
+                () -> waitingRow().path("quick").asInt() == JOBS - 1 && completedPerSecond() > 0);
 
         LoadFigures load = LoadRow.read(waitingRow()).orElseThrow();
         assertThat(load.pools().get(POOL).excessCoreSeconds()).isPositive();
@@ -74,6 +77,13 @@
         node.stop();
     }
 
+    private double completedPerSecond() {
+        return LoadRow.read(waitingRow())
+                .map(load -> load.pools().get(POOL))
+                .map(LoadFigures.PoolLoad::completedPerSecond)
+                .orElse(0.0);
+    }
+
     private JsonNode waitingRow() {
         String text =
                 table.read(FleetRows.WAITING)
