--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -41,14 +41,13 @@
      */
     private static final long MIN_UNRESPONSIVE_MILLIS = 250;
 
-    private static final long AVOID_AFTER_REJECTION_MILLIS = 300;
-
     private final FleetState fleet = new FleetState();
     private final RunTimeEstimator estimator = new RunTimeEstimator();
     private final ExcessMarks excess = new ExcessMarks();
     private final JobLifecycle jobs;
     private final WorkerReportHandler reportHandler;
     private final CrashAttribution crashAttribution;
+    private final OrderAnswers orderAnswers;
     private final WorkerIncarnations incarnations;
     private final StallDetector stallDetector;
     private final UnansweredStarts unansweredStarts;
@@ -85,6 +84,7 @@
         this.crashAttribution = new CrashAttribution(jobs);
         this.stallDetector = new StallDetector(jobs);
         this.unansweredStarts = new UnansweredStarts(orders);
+        this.orderAnswers = new OrderAnswers(fleet, jobs, unansweredStarts);
         this.incarnations = new WorkerIncarnations(jobs, crashAttribution, unansweredStarts);
         this.dispatcher =
                 new Dispatcher(
@@ -408,48 +408,13 @@
     /** Handles the answer to a start order. */
     public void startAnswered(
             WorkerId id, TaskRef ref, long run, OrderAnswer answer, long nowMillis) {
-        if (answer != OrderAnswer.UNKNOWN) {
-            unansweredStarts.recordAnswer(id, ref, run);
-        }
-        TrackedTask task = fleet.task(ref);
-        if (task == null || task.run != run || !id.equals(task.worker)) {
-            return;
-        }
-        if (answer == OrderAnswer.ACCEPTED) {
-            if (task.state == TrackedTask.State.STARTING) {
-                task.transitionTo(TrackedTask.State.RUNNING, nowMillis);
-            }
-            return;
-        }
-        if (answer == OrderAnswer.UNKNOWN) {
-            if (task.state == TrackedTask.State.STARTING) {
-                jobs.handleUnansweredStart(task, nowMillis);
-            }
-            return;
-        }
-        WorkerState worker = fleet.workers.get(id);
-        if (worker != null && answer != OrderAnswer.OLD_RUN) {
-            worker.avoidUntilMillis = nowMillis + AVOID_AFTER_REJECTION_MILLIS;
-        }
-        if (task.state == TrackedTask.State.STARTING || task.state == TrackedTask.State.STOPPING) {
-            jobs.release(task, nowMillis);
-        }
+        orderAnswers.startAnswered(id, ref, run, answer, nowMillis);
     }
 
     /** Handles the answer to a stop order. */
     public void stopAnswered(
             WorkerId id, TaskRef ref, long run, OrderAnswer answer, long nowMillis) {
-        if (answer == OrderAnswer.ACCEPTED) {
-            unansweredStarts.recordStopAnswer(id, ref, run);
-        }
-        TrackedTask task = fleet.task(ref);
-        if (task != null
-                && task.run == run
-                && id.equals(task.worker)
-                && task.state == TrackedTask.State.STOPPING
-                && answer == OrderAnswer.ACCEPTED) {
-            task.stopAnsweredMillis = nowMillis;
-        }
+        orderAnswers.stopAnswered(id, ref, run, answer, nowMillis);
     }
 
     /** Sends all orders that are due now: repeated stops and new starts. */
--- a/core/src/test/java/org/quetzalscale/core/schedule/WorkerHealthTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/WorkerHealthTest.java
@@ -188,7 +188,7 @@
     class WorkerThatFailsAll {
         /** Guards against a worker that takes most of a load and fails it. */
         @Test
-        void getsLittle() {
+        void receivesLittle() {
             workerFails = worker -> worker == 1;
             addWorkers(4);
             for (int job = FIRST_SMALL_JOB; job < FIRST_SMALL_JOB + 40; job++) {
@@ -201,7 +201,7 @@
 
         /** Guards against a worker that takes the tasks of one large step and fails them. */
         @Test
-        void getsLittleOfOneLargeStep() {
+        void receivesLittleOfOneLargeStep() {
             workerFails = worker -> worker == 1;
             addWorkers(4);
             add(Samples.job(FIRST_SMALL_JOB, Samples.step(200, 1)));
@@ -211,7 +211,7 @@
 
         /** Guards against a worker that stays suspected after it has recovered. */
         @Test
-        void getsMoreAgainAfterASuccess() {
+        void receivesMoreAgainAfterASuccess() {
             workerFails = worker -> worker == 1 && now < 5_000;
             addWorkers(2);
             for (int job = FIRST_SMALL_JOB; job < FIRST_SMALL_JOB + 60; job++) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -18,8 +18,6 @@
 import org.quetzalscale.core.schedule.FormerRuns;
 import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
-import org.quetzalscale.core.table.ChangedRow;
-import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
@@ -35,12 +33,8 @@
  * recorded, raises the fence of all workers and then schedules the fleet.
  */
 final class OwnerTerm implements WorkerSession.Term, OrderSender {
-    private static final int FEED_WAIT_MILLIS = 1_000;
     private static final long RETRY_DELAY_MILLIS = 100;
 
-    /** A read of the jobs, with its retries, is answered or fails much earlier. */
-    private static final long MAX_READER_SILENCE_MILLIS = 15_000;
-
     private static final long PLAN_DELAY_MILLIS = 2;
     private static final long PLAN_INTERVAL_MILLIS = 100;
 
@@ -72,6 +66,7 @@
     private final FleetScheduler scheduler;
     private final FleetOverview overview;
     private final JobRows jobRows;
+    private final JobFeed jobFeed;
     private final EndedJobs endedJobs;
     private final EndedJobHistory endedHistory;
     private final ProgressRecorder recorder;
@@ -86,7 +81,6 @@
     private boolean scheduling;
     private boolean planPending;
     private long lastPlanMillis;
-    private long jobsReadMillis;
     private String publishedCounts = "";
 
     OwnerTerm(FleetContext services, PolicyWatcher policies, Lease lease, Runnable onFenced) {
@@ -114,6 +108,7 @@
         this.overview = new FleetOverview(scheduler);
         this.workers = new WorkerDirectory(context, this, sessions, lease.fence().version());
         this.jobRows = new JobRows(context.table());
+        this.jobFeed = new JobFeed(context.table(), clock, this, jobRows, this::applyChangedRow);
         this.endedJobs =
                 new EndedJobs(
                         context.table(),
@@ -296,8 +291,7 @@
                 jobs.rows().size(),
                 recorded.progress().size(),
                 clock.nowMillis() - startMillis);
-        jobsReadMillis = clock.nowMillis();
-        watchJobs(jobs.version());
+        jobFeed.watch(jobs.version());
         workers.jobsLoaded();
         planPeriodically();
         publishPeriodically();
@@ -312,6 +306,10 @@
         }
     }
 
+    private void applyChangedRow(RowKey key, long version, String value) {
+        applyJobRow(key, version, value, RecordedProgress.NONE);
+    }
+
     private void applyValidRow(RowKey key, long version, String value, RecordedProgress recorded) {
         if (key.equals(FleetRows.OWNER)) {
             if (version > fence()) {
@@ -381,81 +379,12 @@
         }
     }
 
-    private void watchJobs(long version) {
-        if (ended) {
-            return;
-        }
-        context.table()
-                .changesAfter(FleetRows.JOBS, version, FEED_WAIT_MILLIS)
-                .whenComplete(
-                        (changes, failure) ->
-                                clock.runOrRetry(
-                                        () -> jobsChanged(version, changes, failure),
-                                        RETRY_DELAY_MILLIS,
-                                        () -> watchJobs(version)));
-    }
-
-    private void jobsChanged(long version, Changes changes, Throwable failure) {
-        if (ended) {
-            return;
-        }
-        jobsReadMillis = clock.nowMillis();
-        if (failure == null) {
-            changes.rows().forEach(this::rowChanged);
-            planSoon();
-            watchJobs(changes.version());
-        } else if (StoreFailures.isHistoryLost(failure)) {
-            rereadJobs();
-        } else {
-            clock.after(RETRY_DELAY_MILLIS, () -> watchJobs(version));
-        }
-    }
-
-    private void rowChanged(ChangedRow row) {
-        row.value()
-                .ifPresent(
-                        value ->
-                                applyJobRow(
-                                        row.key(), row.version(), value, RecordedProgress.NONE));
-    }
-
-    private void rereadJobs() {
-        if (ended) {
-            return;
-        }
-        jobRows.read()
-                .whenComplete(
-                        (jobs, failure) ->
-                                clock.runOrRetry(
-                                        () -> jobsReread(jobs, failure),
-                                        RETRY_DELAY_MILLIS,
-                                        this::rereadJobs));
-    }
-
-    private void jobsReread(RowSnapshot jobs, Throwable failure) {
-        jobsReadMillis = clock.nowMillis();
-        if (failure != null) {
-            clock.after(RETRY_DELAY_MILLIS, this::rereadJobs);
-            return;
-        }
-        jobs.rows()
-                .forEach(
-                        row ->
-                                applyJobRow(
-                                        row.key(),
-                                        row.version(),
-                                        row.value(),
-                                        RecordedProgress.NONE));
-        planSoon();
-        watchJobs(jobs.version());
-    }
-
     /**
      * Gives the fleet to another instance if the reader of the jobs has stopped for any reason: the
      * renewals of the lease would go on, and keep it from those who could serve.
      */
     private void endIfReaderStopped(long nowMillis) {
-        if (nowMillis - jobsReadMillis >= MAX_READER_SILENCE_MILLIS) {
+        if (jobFeed.hasStopped(nowMillis)) {
             Logger.error("event=reader_stopped reader=jobs fence={}", fence());
             onFenced.run();
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.WorkerId;
@@ -58,8 +59,8 @@
     private static final long END_MILLIS = 45_000;
     private static final long END_WITH_LOST_RENEWALS_MILLIS = 90_000;
 
-    private final Variant variant;
-    private final Faults injected;
+    private final SimulationVariant variant;
+    private final SimulationFaults injected;
     private final Random random;
     private final VirtualLoop loop = new VirtualLoop();
     private final LastingTaskHistory lasting =
@@ -75,11 +76,11 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> faults = new ArrayList<>();
 
-    FleetSimulation(Variant variant, long seed) {
-        this(variant, Faults.DRAWN, seed);
+    FleetSimulation(SimulationVariant variant, long seed) {
+        this(variant, SimulationFaults.DRAWN, seed);
     }
 
-    FleetSimulation(Variant variant, Faults injected, long seed) {
+    FleetSimulation(SimulationVariant variant, SimulationFaults injected, long seed) {
         this.variant = variant;
         this.injected = injected;
         random = new Random(seed);
@@ -87,59 +88,6 @@
         evacuations = new SimulatedEvacuations(loop, store, random, faults::add);
     }
 
-    /** What a simulation contains besides short jobs and faults. */
-    enum Variant {
-        PLAIN,
-        /**
-         * A lasting step, and a wave over all instances; each maintained worker is replaced by a
-         * new one.
-         */
-        MAINTENANCE,
-        /**
-         * As {@link #MAINTENANCE}, but workers return from maintenance under their previous ids.
-         */
-        SAME_WORKERS,
-        /**
-         * A lasting step, and workers in three zones, which operators evacuate and restore one
-         * after the other; the last one is not restored.
-         */
-        EVACUATION
-    }
-
-    /** Which faults a simulation injects. */
-    enum Faults {
-        /** Faults of all kinds at times that are drawn. */
-        DRAWN,
-        /**
-         * Again and again the owner's transactions get no answers while its reads do, with many
-         * more jobs. Another instance takes over, and for a moment both learn of submitted jobs.
-         */
-        LOST_RENEWALS,
-        /**
-         * All instances are killed, and the next owner calls a hundred workers with a slow
-         * processor.
-         */
-        SLOW_CONNECTIONS,
-        /**
-         * A task crashes each worker that starts it, and the owner is killed once meanwhile.
-         * Workers return after some seconds.
-         */
-        CRASHING_TASK,
-        /** Those of {@link #DRAWN}, and a new owner reads the jobs for seconds. */
-        SLOW_LOADS,
-        /**
-         * The owner is killed once, and the next one reads the jobs for almost as long as a lease
-         * of a worker lasts. The lease of no run may expire.
-         */
-        SLOW_TAKEOVER,
-        /**
-         * Again and again a worker is cut off from the store, so that its entry is removed for some
-         * seconds, and meanwhile the owner is killed, or frozen until after the next one has taken
-         * over.
-         */
-        UNLISTED_WORKERS
-    }
-
     /** An instance, which runs one process at a time. */
     private final class Node {
         final String name;
@@ -197,19 +145,21 @@
             history.addJob(job);
             loop.after(random.nextInt((int) FAULT_PERIOD_MILLIS), () -> submit(job));
         }
-        if (variant != Variant.PLAIN) {
+        if (variant != SimulationVariant.PLAIN) {
             addLastingJob();
         }
-        if (variant == Variant.EVACUATION) {
+        if (variant == SimulationVariant.EVACUATION) {
             evacuations.begin(history);
-        } else if (variant != Variant.PLAIN) {
+        } else if (variant != SimulationVariant.PLAIN) {
             loop.after(3_000, () -> store.put("op//wave/1", "wave"));
         }
         scheduleFaults();
         loop.runUntil(
-                injected == Faults.LOST_RENEWALS ? END_WITH_LOST_RENEWALS_MILLIS : END_MILLIS);
+                injected == SimulationFaults.LOST_RENEWALS
+                        ? END_WITH_LOST_RENEWALS_MILLIS
+                        : END_MILLIS);
         List<String> found = history.violations();
-        if (injected == Faults.SLOW_TAKEOVER) {
+        if (injected == SimulationFaults.SLOW_TAKEOVER) {
             found.addAll(history.expirations());
         }
         found.addAll(unfinishedWork());
@@ -240,7 +190,8 @@
             case UNLISTED_WORKERS ->
                     loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
             default -> {
-                store.jobReadMillis = injected == Faults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
+                store.jobReadMillis =
+                        injected == SimulationFaults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
                 for (int i = 0; i < FAULT_COUNT; i++) {
                     loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
                 }
@@ -254,32 +205,31 @@
     }
 
     private int workerCount() {
-        if (variant == Variant.EVACUATION) {
+        if (variant == SimulationVariant.EVACUATION) {
             return WORKERS_IN_ZONES;
         }
-        return injected == Faults.SLOW_CONNECTIONS ? WORKERS_OF_A_LARGE_FLEET : WORKERS;
+        return injected == SimulationFaults.SLOW_CONNECTIONS ? WORKERS_OF_A_LARGE_FLEET : WORKERS;
     }
 
     private int jobCount() {
-        return injected == Faults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
+        return injected == SimulationFaults.LOST_RENEWALS ? JOBS_WITH_LOST_RENEWALS : JOBS;
     }
 
     private void killOwner(long downMillis) {
-        for (Node node : nodes) {
-            if (node.process.isAlive() && node.owner.isOwner()) {
-                faults.add(loop.nowMillis() + ": " + node.name + " is killed");
-                node.kill(downMillis);
-            }
-        }
+        forOwner(
+                node -> {
+                    faults.add(loop.nowMillis() + ": " + node.name + " is killed");
+                    node.kill(downMillis);
+                });
     }
 
+    /** Removes the entry of a worker for some seconds, and meanwhile kills or freezes the owner. */
     private void removeEntryAndOwner() {
         if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
             return;
         }
         loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
-        List<SimulatedWorker> present = instances.workers();
-        SimulatedWorker worker = present.get(random.nextInt(present.size()));
+        SimulatedWorker worker = presentWorker();
         long unlistedMillis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
         faults.add(loop.nowMillis() + ": no entry of " + worker.id + " for " + unlistedMillis);
         applyFor(
@@ -294,17 +244,24 @@
     }
 
     private void killOrFreezeOwner() {
+        long millis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
         if (random.nextBoolean()) {
             killOwner(RESTART_MILLIS);
             return;
         }
-        long millis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
-        for (Node node : nodes) {
-            if (node.process.isAlive() && node.owner.isOwner()) {
-                faults.add(loop.nowMillis() + ": " + node.name + " is frozen for " + millis);
-                node.process.freeze(millis);
-            }
-        }
+        faults.add(loop.nowMillis() + ": the owner is frozen for " + millis);
+        forOwner(node -> node.process.freeze(millis));
+    }
+
+    private void forOwner(Consumer<Node> action) {
+        nodes.stream()
+                .filter(node -> node.process.isAlive() && node.owner.isOwner())
+                .forEach(action);
+    }
+
+    private SimulatedWorker presentWorker() {
+        List<SimulatedWorker> present = instances.workers();
+        return present.get(random.nextInt(present.size()));
     }
 
     private void loseRenewals() {
@@ -410,8 +367,7 @@
 
     /** Crashes a worker, which restarts under its id. */
     private void crashWorker(long downMillis) {
-        List<SimulatedWorker> present = instances.workers();
-        SimulatedWorker worker = present.get(random.nextInt(present.size()));
+        SimulatedWorker worker = presentWorker();
         if (!worker.up) {
             return;
         }
@@ -432,7 +388,7 @@
     private SimulatedWorker addWorker(String name) {
         SimulatedWorker worker =
                 new SimulatedWorker(name, CAPACITY, FAILURE_PROBABILITY, loop, random, history);
-        if (injected == Faults.CRASHING_TASK) {
+        if (injected == SimulationFaults.CRASHING_TASK) {
             worker.crashes = new TaskRef(new JobId(String.format("%016x", 1)), 0, 0, 0)::equals;
             worker.onCrashByTask = () -> restartLater(worker, WORKER_RESTART_MILLIS);
         }
@@ -443,7 +399,7 @@
 
     /** Returns the worker that runs on an instance after its maintenance. */
     private SimulatedWorker replaceWorker(InstanceId id, SimulatedWorker ended) {
-        if (variant == Variant.SAME_WORKERS) {
+        if (variant == SimulationVariant.SAME_WORKERS) {
             ended.restart();
             register(ended);
             return ended;
@@ -463,14 +419,15 @@
             progress.put(found.job(), found);
         }
         List<String> found = new ArrayList<>();
-        if (variant != Variant.PLAIN && !lasting.allAvailable()) {
+        if (variant != SimulationVariant.PLAIN && !lasting.allAvailable()) {
             found.add("a lasting task is unavailable");
         }
-        if (variant == Variant.EVACUATION && lasting.tasks().stream().anyMatch(this::isLeft)) {
+        if (variant == SimulationVariant.EVACUATION
+                && lasting.tasks().stream().anyMatch(this::isLeft)) {
             found.add("a lasting task is left in the evacuated zone");
         }
-        if (variant != Variant.PLAIN
-                && variant != Variant.EVACUATION
+        if (variant != SimulationVariant.PLAIN
+                && variant != SimulationVariant.EVACUATION
                 && !instances.allMaintained()) {
             found.add("the wave is not done");
         }
@@ -529,7 +486,9 @@
         return new WorkerEntry(
                 new WorkerId(id),
                 SimulatedJobs.POOL,
-                variant == Variant.EVACUATION ? SimulatedEvacuations.zoneOf(id) : new ZoneId("z"),
+                variant == SimulationVariant.EVACUATION
+                        ? SimulatedEvacuations.zoneOf(id)
+                        : new ZoneId("z"),
                 new InetSocketAddress("127.0.0.1", 1),
                 new Resources(CAPACITY, 1_000, 0, 0),
                 List.of("a", "r"),
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -11,8 +11,6 @@
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.quetzalscale.daemon.fleet.FleetSimulation.Faults;
-import org.quetzalscale.daemon.fleet.FleetSimulation.Variant;
 
 /**
  * Simulates owners, workers and the store in random orders of events, with killed processes,
@@ -31,7 +29,7 @@
      */
     @Property(tries = 400, seed = "8322806062051765758", shrinking = ShrinkingMode.OFF)
     void keepsTheRulesInAnyOrderOfEvents(
-            @ForAll Variant variant, @ForAll @LongRange(min = 1) long seed) {
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
         run(variant, seed);
     }
 
@@ -40,11 +38,12 @@
     @EnabledIfSystemProperty(named = NEW_SEEDS_PROPERTY, matches = "\\d+")
     void keepsTheRulesOnNewSeeds() {
         for (int number = 0; number < Integer.getInteger(NEW_SEEDS_PROPERTY); number++) {
-            Variant variant = Variant.values()[number % Variant.values().length];
+            SimulationVariant variant =
+                    SimulationVariant.values()[number % SimulationVariant.values().length];
             long seed = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
             run(variant, seed);
-            run(Variant.PLAIN, Faults.CRASHING_TASK, seed);
-            run(variant, Faults.UNLISTED_WORKERS, seed);
+            run(SimulationVariant.PLAIN, SimulationFaults.CRASHING_TASK, seed);
+            run(variant, SimulationFaults.UNLISTED_WORKERS, seed);
         }
     }
 
@@ -69,7 +68,7 @@
         "SAME_WORKERS, 7732483797787557217",
         "SAME_WORKERS, 1130162869440830022"
     })
-    void keepsTheRulesOnSeedsThatFailed(Variant variant, long seed) {
+    void keepsTheRulesOnSeedsThatFailed(SimulationVariant variant, long seed) {
         run(variant, seed);
     }
 
@@ -79,7 +78,7 @@
      */
     @Test
     void forbidsLateStartsWhileStopsAreLateToo() {
-        run(Variant.SAME_WORKERS, 35_450);
+        run(SimulationVariant.SAME_WORKERS, 35_450);
     }
 
     /**
@@ -89,7 +88,7 @@
      */
     @Test
     void forbidsStartsOfAFormerOwnerAfterAPause() {
-        run(Variant.PLAIN, 2_891_709_639_051_412_421L);
+        run(SimulationVariant.PLAIN, 2_891_709_639_051_412_421L);
     }
 
     /**
@@ -99,7 +98,7 @@
      */
     @Property(tries = 40, seed = "4711904120337", shrinking = ShrinkingMode.OFF)
     void startsNewJobsOnceAroundAHandOver(@ForAll @LongRange(min = 1) long seed) {
-        run(Variant.PLAIN, Faults.LOST_RENEWALS, seed);
+        run(SimulationVariant.PLAIN, SimulationFaults.LOST_RENEWALS, seed);
     }
 
     /**
@@ -108,7 +107,7 @@
      */
     @Test
     void startsNewJobsOnceAroundAHandOverThatFailed() {
-        run(Variant.PLAIN, Faults.LOST_RENEWALS, 22_690_191_752_142L);
+        run(SimulationVariant.PLAIN, SimulationFaults.LOST_RENEWALS, 22_690_191_752_142L);
     }
 
     /**
@@ -119,7 +118,8 @@
     @Property(tries = 5, seed = "7712093645120", shrinking = ShrinkingMode.OFF)
     void keepsItsLeaseWhileItCallsAllWorkers(@ForAll @LongRange(min = 1) long seed) {
         FleetSimulation simulation =
-                new FleetSimulation(Variant.PLAIN, Faults.SLOW_CONNECTIONS, seed);
+                new FleetSimulation(
+                        SimulationVariant.PLAIN, SimulationFaults.SLOW_CONNECTIONS, seed);
         assertThat(simulation.run()).as("violations, seed %d", seed).isEmpty();
         assertThat(simulation.acquisitions()).as("owners, seed %d", seed).isEqualTo(2);
     }
@@ -130,7 +130,7 @@
      */
     @Property(tries = 60, seed = "5120847713361", shrinking = ShrinkingMode.OFF)
     void givesUpATaskThatCrashesItsWorkers(@ForAll @LongRange(min = 1) long seed) {
-        run(Variant.PLAIN, Faults.CRASHING_TASK, seed);
+        run(SimulationVariant.PLAIN, SimulationFaults.CRASHING_TASK, seed);
     }
 
     /**
@@ -139,7 +139,7 @@
      */
     @Property(tries = 40, seed = "2217349150", shrinking = ShrinkingMode.OFF)
     void renewsLeasesWhileANewOwnerReadsTheJobs(@ForAll @LongRange(min = 1) long seed) {
-        run(Variant.MAINTENANCE, Faults.SLOW_TAKEOVER, seed);
+        run(SimulationVariant.MAINTENANCE, SimulationFaults.SLOW_TAKEOVER, seed);
     }
 
     /**
@@ -148,8 +148,8 @@
      */
     @Property(tries = 134, seed = "6120377841", shrinking = ShrinkingMode.OFF)
     void keepsTheRulesWhileOwnersReadTheJobsSlowly(
-            @ForAll Variant variant, @ForAll @LongRange(min = 1) long seed) {
-        run(variant, Faults.SLOW_LOADS, seed);
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.SLOW_LOADS, seed);
     }
 
     /**
@@ -158,15 +158,15 @@
      */
     @Property(tries = 200, seed = "7205513348", shrinking = ShrinkingMode.OFF)
     void runsTasksOfUnlistedWorkersOnce(
-            @ForAll Variant variant, @ForAll @LongRange(min = 1) long seed) {
-        run(variant, Faults.UNLISTED_WORKERS, seed);
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.UNLISTED_WORKERS, seed);
     }
 
-    private static void run(Variant variant, long seed) {
-        run(variant, Faults.DRAWN, seed);
+    private static void run(SimulationVariant variant, long seed) {
+        run(variant, SimulationFaults.DRAWN, seed);
     }
 
-    private static void run(Variant variant, Faults injected, long seed) {
+    private static void run(SimulationVariant variant, SimulationFaults injected, long seed) {
         FleetSimulation simulation = new FleetSimulation(variant, injected, seed);
         assertThat(simulation.run())
                 .as(() -> variant + ", seed " + seed + ", faults " + simulation.faults())
