Refuse jobs that the owner cannot hold

Nothing limited what all accepted jobs take of the owner's heap together: each may declare 200 steps and 4,000 characters, callers may submit faster than the fleet runs them, and ended jobs kept their text for three minutes.

The owner publishes what its jobs take, in MiB and only from 1 MiB on, beside the waiting jobs. FleetMemory refuses a job with 429, the reason and Retry-After: 5 when the owner holds 32 MiB, or this instance has accepted its part of the rest within the time that the owner needs to count it. A job that has ended keeps no text for workers.

AdmissionGateTest.refusesJobsThatTheOwnerCannotHold and .acceptsNoMoreThanItsPartBeforeTheOwnerCounts; the reason did not exist before. Instances now read the figures also where no organisation declares a rate: one read in 0.9 s while jobs arrive.

--- a/core/src/main/java/org/quetzalscale/core/schedule/AdmissionPolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/AdmissionPolicy.java
@@ -41,7 +41,9 @@
         /** The job is beyond the declared rate of its organisation. */
         EXCESS,
         /** The job would certainly end too late to be worth anything. */
-        TOO_LATE
+        TOO_LATE,
+        /** The owner holds as many jobs as it can. */
+        FLEET_FULL
     }
 
     /**
@@ -70,7 +72,13 @@
             double limitSeconds,
             double backlogCoreSeconds,
             double completedPerSecond,
-            long ageMillis) {}
+            long ageMillis) {
+        /** The refusal of a job that the owner cannot hold. */
+        public static Refusal fleetFull(long ageMillis) {
+            return new Refusal(
+                    Reason.FLEET_FULL, FleetMemory.RETRY_AFTER_SECONDS, 0, 0, 0, 0, 0, ageMillis);
+        }
+    }
 
     /**
      * Decides on a job and counts it if it is accepted.
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -446,12 +446,14 @@
         return waiting;
     }
 
+    /** About how much memory the definitions of all known jobs take. */
+    public long jobBytes() {
+        return fleet.jobBytes();
+    }
+
     /** Removes a job whose rows were deleted. */
     public void removeJob(JobId id) {
-        JobRun removed = fleet.jobs.remove(id);
-        if (removed != null) {
-            removed.occurrences.closeAll();
-        }
+        fleet.removeJob(id);
         excess.remove(id);
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -21,6 +21,7 @@
     final Map<WorkerId, WorkerState> workers = new LinkedHashMap<>();
     final OrganisationUsage usage = new OrganisationUsage();
     final OpenTasks openTasks = new OpenTasks();
+    private long jobBytes;
 
     /** Jobs that have not ended, by pool and in the order in which they were added. */
     private final Map<PoolId, Set<JobRun>> active = new LinkedHashMap<>();
@@ -34,13 +35,32 @@
 
     void addJob(JobRun job) {
         jobs.put(job.definition.id(), job);
+        jobBytes += FleetMemory.bytes(job.definition);
         if (!job.phase.isFinal()) {
             active.computeIfAbsent(job.definition.pool(), pool -> new LinkedHashSet<>()).add(job);
         }
     }
 
+    /** Ends a job: its tasks are not started any more. */
     void deactivate(JobRun job) {
         active.getOrDefault(job.definition.pool(), Set.of()).remove(job);
+        jobBytes -= FleetMemory.bytes(job.definition);
+        job.definition = job.definition.withoutSpec();
+        jobBytes += FleetMemory.bytes(job.definition);
+    }
+
+    /** Forgets a job. */
+    void removeJob(JobId id) {
+        JobRun job = jobs.remove(id);
+        if (job != null) {
+            job.occurrences.closeAll();
+            jobBytes -= FleetMemory.bytes(job.definition);
+        }
+    }
+
+    /** About how much memory the definitions of all known jobs take. */
+    long jobBytes() {
+        return jobBytes;
     }
 
     Set<ZoneId> evacuatedZones() {
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobRun.java
@@ -10,7 +10,8 @@
 
 /** A job with the state of all its tasks. */
 final class JobRun {
-    final JobDefinition definition;
+    /** The job; without the text for workers once it has ended. */
+    JobDefinition definition;
 
     /** When the job was accepted, on the owner's monotonic clock in milliseconds. */
     final long acceptedMillis;
--- a/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
+++ b/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
@@ -38,6 +38,12 @@
         Objects.requireNonNull(recurrence, "recurrence");
     }
 
+    /** This job without its text for workers, which a job that has ended no longer needs. */
+    public JobDefinition withoutSpec() {
+        return new JobDefinition(
+                id, queue, pool, organisation, acceptedEpochMillis, "", steps, recurrence);
+    }
+
     /** The number of tasks of one occurrence. */
     public long taskCount() {
         return steps.stream().mapToLong(StepDefinition::count).sum();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/AdmissionGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/AdmissionGate.java
@@ -11,6 +11,7 @@
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.schedule.AdmissionPolicy;
+import org.quetzalscale.core.schedule.FleetMemory;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.LoadFigures;
 import org.quetzalscale.core.schedule.LocalAdmissions;
@@ -31,6 +32,9 @@
 public final class AdmissionGate {
     private static final long REFRESH_INTERVAL_MILLIS = 900;
 
+    /** Longer than an owner takes to publish what it holds, and this instance to read it. */
+    private static final long COUNTED_MILLIS = 3_000;
+
     /** The figures are kept current for this long after the last job. */
     private static final long IDLE_MILLIS = 3_000;
 
@@ -56,6 +60,12 @@
     private Optional<LoadFigures> figures = Optional.empty();
     private long figuresVersion;
 
+    /** Memory that the owner's jobs take, as it last published, in MiB. */
+    private long heldMib;
+
+    /** Memory of the jobs that this instance has accepted lately, in bytes. */
+    private final RecentSum recentBytes = new RecentSum(COUNTED_MILLIS);
+
     /** The figures were made after this time; empty while not known. */
     private Optional<Long> madeAfterMillis = Optional.empty();
 
@@ -91,9 +101,6 @@
      */
     public CompletionStage<Optional<AdmissionPolicy.Refusal>> check(
             JobDefinition job, FleetPolicy policy, long deadlineMillis) {
-        if (!AdmissionPolicy.isEnabled(policy)) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
         lastJobMillis = clock.nowMillis();
         if (!refreshing) {
             refreshing = true;
@@ -102,10 +109,10 @@
         if (recentJobs.containsKey(job.id())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        Optional<AdmissionPolicy.Refusal> refusal =
-                AdmissionPolicy.decide(job, policy, known(), clock.nowMillis());
+        Optional<AdmissionPolicy.Refusal> refusal = decide(job, policy);
         if (refusal.isEmpty()) {
             recentJobs.put(job.id(), true);
+            recentBytes.add(FleetMemory.bytes(job), clock.nowMillis());
             return CompletableFuture.completedFuture(refusal);
         }
         return gateway.phase(job.id(), deadlineMillis)
@@ -119,6 +126,20 @@
                         });
     }
 
+    private Optional<AdmissionPolicy.Refusal> decide(JobDefinition job, FleetPolicy policy) {
+        long localBytes = recentBytes.sum(clock.nowMillis());
+        if (!FleetMemory.permits(job, heldMib, localBytes, instances.getAsInt())) {
+            return Optional.of(AdmissionPolicy.Refusal.fleetFull(figuresAgeMillis()));
+        }
+        return AdmissionPolicy.isEnabled(policy)
+                ? AdmissionPolicy.decide(job, policy, known(), clock.nowMillis())
+                : Optional.empty();
+    }
+
+    private long figuresAgeMillis() {
+        return madeAfterMillis.map(madeAfter -> clock.nowMillis() - madeAfter).orElse(0L);
+    }
+
     private Optional<AdmissionPolicy.Known> known() {
         long now = clock.nowMillis();
         return figures.flatMap(
@@ -155,6 +176,7 @@
         if (version != figuresVersion) {
             figuresVersion = version;
             figures = row.flatMap(AdmissionGate::decode);
+            heldMib = row.map(AdmissionGate::decodeJobMib).orElse(0L);
             madeAfterMillis = previousReadMillis;
             local.figuresReplaced();
         }
@@ -167,6 +189,12 @@
                 .flatMap(found -> found);
     }
 
+    private static long decodeJobMib(Row row) {
+        return StoreFailures.decodeOrLog(
+                        row.key(), () -> LoadRow.readJobMib(Json.read(row.value(), JsonNode.class)))
+                .orElse(0L);
+    }
+
     private void recordRefusal(JobDefinition job, AdmissionPolicy.Refusal refusal) {
         metrics.admissionRefused(refusal.reason().name().toLowerCase(Locale.ROOT));
         Logger.info(
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/LoadRow.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/LoadRow.java
@@ -17,10 +17,23 @@
  */
 final class LoadRow {
     private static final String FIGURES = "_load";
+    private static final String JOB_MIB = "_jobMib";
     private static final double HUNDREDTHS = 100;
 
     private LoadRow() {}
 
+    /** Adds the memory that the owner's jobs take, in MiB, unless it is little. */
+    static void writeJobMib(long mib, ObjectNode row) {
+        if (mib > 0) {
+            row.put(JOB_MIB, mib);
+        }
+    }
+
+    /** Reads the memory that the owner's jobs take, in MiB. */
+    static long readJobMib(JsonNode row) {
+        return row.path(JOB_MIB).asLong();
+    }
+
     /** Adds the figures to a row. */
     static void write(LoadFigures figures, ObjectNode row) {
         ObjectNode node = row.putObject(FIGURES);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -12,6 +12,7 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.lease.Lease;
+import org.quetzalscale.core.schedule.FleetMemory;
 import org.quetzalscale.core.schedule.FleetOverview;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
@@ -446,6 +447,7 @@
     private String waitingCounts() {
         ObjectNode counts = JsonNodeFactory.instance.objectNode();
         scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
+        LoadRow.writeJobMib(FleetMemory.toMib(scheduler.jobBytes()), counts);
         load.observe(clock.nowMillis(), clock.epochMillis().getAsLong())
                 .ifPresent(figures -> LoadRow.write(figures, counts));
         return counts.toString();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,6 +60,7 @@
     private int reads;
     private int lastJob;
     private boolean publishing = true;
+    private long heldMib;
 
     /** Counts the reads of the figures. */
     private final class CountedReads implements TransactionalTable {
@@ -83,6 +85,7 @@
     void publish() {
         if (publishing) {
             ObjectNode row = JsonNodeFactory.instance.objectNode().put("quick", 7);
+            LoadRow.writeJobMib(heldMib, row);
             LoadRow.write(
                     new LoadFigures(
                             loop.nowMillis(),
@@ -210,4 +213,41 @@
             assertThat(refusedIn(1_000)).isZero();
         }
     }
+
+    /** A job with as much text as one may have. */
+    private JobDefinition largeJob() {
+        JobDefinition job = job();
+        return new JobDefinition(
+                job.id(),
+                job.queue(),
+                job.pool(),
+                Optional.empty(),
+                job.acceptedEpochMillis(),
+                "x".repeat(4_000),
+                Collections.nCopies(200, Steps.lasting(1, 1, 1)),
+                Recurrence.NONE);
+    }
+
+    /** Guards against an owner that ends for want of memory, because callers submit more (LOST). */
+    @Test
+    void refusesJobsThatTheOwnerCannotHold() {
+        heldMib = 32;
+        isRefused(job());
+        loop.runUntil(loop.nowMillis() + 2 * PUBLISH_MILLIS);
+        assertThat(isRefused(largeJob())).isTrue();
+
+        heldMib = 0;
+        loop.runUntil(loop.nowMillis() + 4 * PUBLISH_MILLIS);
+        assertThat(isRefused(largeJob())).isFalse();
+    }
+
+    /** Guards against a burst that is accepted before the owner has published any of it. */
+    @Test
+    void acceptsNoMoreThanItsPartBeforeTheOwnerCounts() {
+        int accepted = 0;
+        while (accepted < 1_000 && !isRefused(largeJob())) {
+            accepted++;
+        }
+        assertThat(accepted).isBetween(100, 300);
+    }
 }
