Take no report for applied that could not be

The worker has reported only once its report is applied, and as long as it cannot be, renewals do not extend its lease, so that recovered jobs wait for the end of its runs and no longer. A task name with a negative number, which could have led there, names no task. A record of progress with one is still unreadable, so its job is held.

WorkerSessionTest.takesNoReportForAppliedThatCouldNotBe failed before.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -396,11 +396,11 @@
         }
         incarnations.handleReported(worker, report.startedEpochMillis(), sentMillis, nowMillis);
         if (!worker.reported) {
-            worker.reported = true;
             unansweredStarts.stopAll(id, nowMillis);
         }
         worker.unresponsive = false;
         reportHandler.apply(worker, report, ends, sentMillis, nowMillis);
+        worker.reported = true;
         stallDetector.check(worker, nowMillis);
         paceControl.adjust(worker, nowMillis);
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -113,7 +113,7 @@
     Optional<Resources> reservedBy(TaskRef ref) {
         return Optional.ofNullable(jobs.get(ref.job()))
                 .map(job -> job.definition.steps())
-                .filter(steps -> ref.step() < steps.size())
+                .filter(steps -> ref.step() >= 0 && ref.step() < steps.size())
                 .map(steps -> steps.get(ref.step()).reserved());
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobOccurrences.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobOccurrences.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.NavigableMap;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.StepDefinition;
@@ -90,7 +91,7 @@
 
     /** Returns the task; null if the job has no such task, or it needs no more runs. */
     TrackedTask task(TaskRef ref) {
-        if (ref.occurrence() >= count() || ref.step() >= definition.steps().size()) {
+        if (!hasStep(ref.occurrence(), ref.step()) || ref.index() < 0) {
             return null;
         }
         List<StepRun> steps =
@@ -102,9 +103,22 @@
         return ref.index() < tasks.size() ? tasks.get(ref.index()) : null;
     }
 
-    /** The step that a record of progress belongs to; null if it is done or does not exist. */
+    private boolean hasStep(int occurrence, int step) {
+        return occurrence >= 0
+                && occurrence < count()
+                && step >= 0
+                && step < definition.steps().size();
+    }
+
+    /**
+     * The step that a record of progress belongs to; null if it is done or does not exist.
+     *
+     * @throws IndexOutOfBoundsException if a number is negative
+     */
     StepRun recordedStep(int occurrence, int step) {
-        if (occurrence >= count() || step >= definition.steps().size()) {
+        Objects.checkIndex(occurrence, Integer.MAX_VALUE);
+        Objects.checkIndex(step, Integer.MAX_VALUE);
+        if (!hasStep(occurrence, step)) {
             return null;
         }
         List<StepRun> steps = openKnown(occurrence);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -80,6 +80,10 @@
     private long lastSeenNumber;
     private long lastRecordedNumber;
     private boolean reportApplied;
+
+    /** Whether the latest report could not be applied. */
+    private boolean reportIgnored;
+
     private boolean awaitingRecord;
     private long awaitRecordUntilMillis;
     private boolean tasksReleased;
@@ -265,9 +269,10 @@
         }
         renewing = true;
         long sentMillis = clock.nowMillis();
-        // Runs of earlier owners on a worker that is silent before its first applied report are
-        // not prolonged, because all recovered jobs wait for their end.
-        boolean extending = lease.isClockKnown() && (reportApplied || !unresponsive);
+        // Runs on a worker that is silent before its first applied report, or whose report cannot
+        // be applied, are not prolonged, because all recovered jobs may wait for their end.
+        boolean extending =
+                lease.isClockKnown() && !reportIgnored && (reportApplied || !unresponsive);
         long leaseUntilClockMillis = extending ? lease.extend(sentMillis) : 0;
         // Does not wait for new finished runs while some are unacknowledged, because the worker
         // would list those again at once, nor after a silence, because the worker may have
@@ -306,6 +311,7 @@
             handleReport(report, sentMillis);
         } catch (RuntimeException e) {
             lastSeenNumber = lastRecordedNumber;
+            reportIgnored = true;
             Logger.error(e, "event=report_ignored worker={}", entry.id());
             clock.after(RETRY_DELAY_MILLIS, this::renew);
         }
@@ -339,8 +345,9 @@
             lastSeenNumber = Math.max(lastSeenNumber, end.number());
             logFinishedRun(end);
         }
-        reportApplied = true;
         term.scheduler().handleReport(entry.id(), report, newlyFinished, sentMillis, now);
+        reportApplied = true;
+        reportIgnored = false;
         term.planSoon();
         if (first || newlyFinished.isEmpty()) {
             scheduleRenewal(
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -28,6 +28,7 @@
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.OrderAnswer;
 import org.quetzalscale.core.task.RunEnd;
+import org.quetzalscale.core.task.RunningTask;
 import org.quetzalscale.core.task.StartOrder;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerCalls;
@@ -152,7 +153,11 @@
     public void start(WorkerId worker, StartOrder order) {}
 
     @Override
-    public void stop(WorkerId worker, TaskRef task, long run) {}
+    public void stop(WorkerId worker, TaskRef task, long run) {
+        if (failing) {
+            throw new IllegalStateException("unexpected");
+        }
+    }
 
     @Override
     public void pace(WorkerId worker, TaskRef task, long run, int percent) {}
@@ -308,6 +313,24 @@
         assertThat(calls.leases.get(2)).isZero();
     }
 
+    /**
+     * Guards against a second run of a task (TWICE): a report that could not be applied counted as
+     * known, and the runs in it were prolonged for as long as it could not.
+     */
+    @Test
+    void takesNoReportForAppliedThatCouldNotBe() throws Exception {
+        scheduler.registerWorker(entry(1), 0);
+        session.call(() -> {});
+        failing = true;
+        RunningTask running = new RunningTask(TASK, 1, "", 10, 0);
+        calls.renewals.get(0).complete(new WorkerReport(50, 1, List.of(running), List.of()));
+        loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).get();
+
+        assertThat(session.formerRunsKnown(0)).isFalse();
+        assertThat(scheduler.hasReported(new WorkerId("i-1"))).isFalse();
+        assertThat(calls.leases.get(1)).isZero();
+    }
+
     /** Guards against calls to a worker whose instance is gone while its entry remains. */
     @Test
     void distinguishesTheEntryOfAnEndedWorkerFromALaterOne() {
