Blame a step for its failures only after three workers

Where workers of one service fail all they start one after the other, the first version of WorkerHealth served callers worse than before: two bad workers made a step "fail elsewhere too", so neither was suspected and both took more of it.

A step is to blame once it has failed on three workers and succeeded on none; the rule on single tasks, which have three attempts, is gone.

--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -140,7 +140,7 @@
         }
         task.step.markStarted();
         task.failures++;
-        task.recordFailureOn(worker.entry.id());
+        task.lastFailedOn = worker.entry.id();
         if (!run.served()) {
             task.step.recordFailureOn(worker.entry.id(), run.durationMillis());
             worker.health.recordFailure(task, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,9 @@
 
 /** A step in one occurrence of a job, with the state of its tasks. */
 final class StepRun {
+    /** Workers on which a step has to fail before it is to blame: some may fail all they start. */
+    private static final int MANY_WORKERS = 3;
+
     /** A run that lasts this many times as long as any failed one of its step will succeed. */
     private static final long SUCCESS_FACTOR = 2;
 
@@ -24,8 +28,10 @@
     private int done;
     private int assigned;
     private boolean started;
-    private WorkerId failedOn;
-    private boolean failedOnSeveral;
+
+    /** Workers on which tasks of the step have failed, {@link #MANY_WORKERS} at most. */
+    private Set<WorkerId> failedOn = Set.of();
+
     private long longestFailedMillis;
 
     StepRun(JobRun job, int occurrence, int number, StepDefinition definition) {
@@ -80,17 +86,20 @@
     }
 
     void recordFailureOn(WorkerId worker, long durationMillis) {
-        failedOnSeveral |= failedOn != null && !failedOn.equals(worker);
-        failedOn = worker;
+        if (failedOn.size() < MANY_WORKERS) {
+            Set<WorkerId> workers = new HashSet<>(failedOn);
+            workers.add(worker);
+            failedOn = Set.copyOf(workers);
+        }
         longestFailedMillis = Math.max(longestFailedMillis, durationMillis);
     }
 
     /**
-     * Whether tasks of the step fail on several workers and succeed on none. A run that has lasted
+     * Whether tasks of the step fail on many workers and succeed on none. A run that has lasted
      * much longer than the failed ones counts as a success.
      */
     boolean failsEverywhere(long nowMillis) {
-        return failedOnSeveral
+        return failedOn.size() == MANY_WORKERS
                 && done == 0
                 && tasks.stream().noneMatch(t -> outlasts(t, nowMillis));
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -31,9 +31,6 @@
     WorkerId worker;
     WorkerId lastFailedOn;
 
-    /** Whether the task has failed on several workers. */
-    boolean failedElsewhere;
-
     long run;
     String checkpoint = "";
     int failures;
@@ -77,11 +74,6 @@
         this.step = step;
     }
 
-    void recordFailureOn(WorkerId failedOn) {
-        failedElsewhere |= lastFailedOn != null && !lastFailedOn.equals(failedOn);
-        lastFailedOn = failedOn;
-    }
-
     /** Numbers of the failed runs; an immutable set. */
     Set<Long> failedRuns() {
         return failedRuns;
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerHealth.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerHealth.java
@@ -10,11 +10,11 @@
  * it may start meanwhile. It answers a load in which some tasks can never be done and some workers
  * fail all that they start.
  *
- * <p>A failure says nothing of the worker once the same task, or its whole step, fails elsewhere
- * too. A failure also loses its weight with time: a worker may have nothing left on it that could
- * succeed. A suspected worker gets one task at a time, first those of jobs that have not failed on
- * it. What it runs since before its last failure does not count, and a task that runs on without a
- * result delays the next one only for a while.
+ * <p>A failure says nothing of the worker once the whole step fails on many others too. A failure
+ * also loses its weight with time: a worker may have nothing left on it that could succeed. A
+ * suspected worker gets one task at a time, first those of jobs that have not failed on it. What it
+ * runs since before its last failure does not count, and a task that runs on without a result
+ * delays the next one only for a while.
  */
 final class WorkerHealth {
     /** Number of failures after which a worker is suspected. */
@@ -123,7 +123,7 @@
         Set<StepRun> sound = new HashSet<>();
         for (Failure failure : failures) {
             StepRun step = failure.task().step;
-            if (failure.task().failedElsewhere || blamed.contains(step)) {
+            if (blamed.contains(step)) {
                 continue;
             }
             if (!sound.contains(step) && step.failsEverywhere(nowMillis)) {
--- a/core/src/test/java/org/quetzalscale/core/schedule/WorkerHealthTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/WorkerHealthTest.java
@@ -199,6 +199,21 @@
             assertThat(startsOn(2)).isGreaterThan(20);
         }
 
+        /**
+         * Guards against jobs that are blamed for two bad workers, which then take most of a load
+         * and fail it.
+         */
+        @Test
+        void receivesLittleBesideAnotherOne() {
+            workerFails = worker -> worker <= 2;
+            addWorkers(6);
+            for (int job = FIRST_SMALL_JOB; job < FIRST_SMALL_JOB + 40; job++) {
+                add(Samples.job(job, Samples.step(6, 4)));
+                runFor(200);
+            }
+            assertThat(startsOn(1) + startsOn(2)).isLessThan(60);
+        }
+
         /** Guards against a worker that takes the tasks of one large step and fails them. */
         @Test
         void receivesLittleOfOneLargeStep() {
