Forget the text of a job that has ended in its occurrences too

JobOccurrences kept the definition with the text for workers, so that the text of an ended job was not given back although FleetMemory counted it as gone.

--- a/core/src/main/java/org/quetzalscale/core/schedule/JobOccurrences.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobOccurrences.java
@@ -7,7 +7,6 @@
 import java.util.NavigableMap;
 import java.util.Objects;
 import java.util.TreeMap;
-import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.StepDefinition;
 import org.quetzalscale.core.task.TaskRef;
 
@@ -21,7 +20,6 @@
     private static final int MAX_OPEN_TASKS = 10_000;
 
     private final JobRun job;
-    private final JobDefinition definition;
     private final OpenTasks openTasks;
     private final long tasksOfOccurrence;
     private final BitSet done = new BitSet();
@@ -32,13 +30,12 @@
 
     JobOccurrences(JobRun job, OpenTasks openTasks) {
         this.job = job;
-        this.definition = job.definition;
         this.openTasks = openTasks;
-        this.tasksOfOccurrence = definition.taskCount();
+        this.tasksOfOccurrence = job.definition.taskCount();
     }
 
     int count() {
-        return definition.recurrence().occurrences();
+        return job.definition.recurrence().occurrences();
     }
 
     /** The open occurrences in the order of their due times. */
@@ -62,7 +59,7 @@
     /** Opens the occurrences that are due by the given time, as far as the limits permit. */
     void openDueBy(long epochMillis) {
         while (next() < count()
-                && definition.recurrence().dueEpochMillis(next) <= epochMillis
+                && job.definition.recurrence().dueEpochMillis(next) <= epochMillis
                 && mayOpen()) {
             open(next);
         }
@@ -80,8 +77,8 @@
     }
 
     private List<StepRun> open(int occurrence) {
-        List<StepRun> steps = new ArrayList<>(definition.steps().size());
-        for (StepDefinition step : definition.steps()) {
+        List<StepRun> steps = new ArrayList<>(job.definition.steps().size());
+        for (StepDefinition step : job.definition.steps()) {
             steps.add(new StepRun(job, occurrence, steps.size(), step));
         }
         open.put(occurrence, steps);
@@ -107,7 +104,7 @@
         return occurrence >= 0
                 && occurrence < count()
                 && step >= 0
-                && step < definition.steps().size();
+                && step < job.definition.steps().size();
     }
 
     /**
