Let a worker's session go on after an unexpected exception

An exception or error in the callback of a renewal ended the session of that worker without a word: its lease was not renewed any more, and its work expired.

The callback is run like those of the readers now. The new WorkerSessionTest.goesOnRenewingAfterAnUnexpectedException failed before.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -288,20 +288,28 @@
                 .whenComplete(
                         (report, failure) -> {
                             renewing = false;
-                            Runnable onResult = onNextResult;
-                            onNextResult = () -> {};
-                            onResult.run();
-                            if (term.ended() || closed) {
-                                return;
-                            }
-                            if (failure == null) {
-                                handleReportOrLog(report, sentMillis);
-                            } else {
-                                renewalFailed(QuetzalscaleException.from(failure), token);
-                            }
+                            clock.runOrRetry(
+                                    () -> renewalAnswered(report, failure, sentMillis, token),
+                                    RETRY_DELAY_MILLIS,
+                                    this::renew);
                         });
     }
 
+    private void renewalAnswered(
+            WorkerReport report, Throwable failure, long sentMillis, long token) {
+        Runnable onResult = onNextResult;
+        onNextResult = () -> {};
+        onResult.run();
+        if (term.ended() || closed) {
+            return;
+        }
+        if (failure == null) {
+            handleReportOrLog(report, sentMillis);
+        } else {
+            renewalFailed(QuetzalscaleException.from(failure), token);
+        }
+    }
+
     /**
      * An exception costs this report. The next renewal reads the worker's lists again, and
      * acknowledges nothing that was not recorded.
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerErrorsTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerErrorsTest.java
@@ -26,15 +26,6 @@
     private final AtomicBoolean outOfMemory = new AtomicBoolean();
     private final List<Error> errors = Collections.synchronizedList(new ArrayList<>());
 
-    /** Fails in the reader of the jobs, which reads the time when changes arrive. */
-    private final TimeSource failingTime =
-            () -> {
-                if (outOfMemory.getAndSet(false)) {
-                    throw new OutOfMemoryError("for a test");
-                }
-                return TimeSource.system().nowMillis();
-            };
-
     private final class JobFeed extends ForwardingTable {
         JobFeed() {
             super(table);
@@ -45,6 +36,9 @@
             if (name.equals(FleetRows.JOBS) && unexpectedChanges.getAndSet(false)) {
                 return CompletableFuture.completedFuture(null);
             }
+            if (name.equals(FleetRows.JOBS) && outOfMemory.getAndSet(false)) {
+                throw new OutOfMemoryError("in the callback that asks for the next changes");
+            }
             if (name.equals(FleetRows.JOBS) && silent.get()) {
                 return new CompletableFuture<>();
             }
@@ -56,7 +50,8 @@
     FleetContext context(String name) {
         FleetContext context = super.context(name);
         LoopClock ownerClock =
-                new LoopClock(clock.loop(), failingTime, System::currentTimeMillis, errors::add);
+                new LoopClock(
+                        clock.loop(), TimeSource.system(), System::currentTimeMillis, errors::add);
         return new FleetContext(
                 context.self(),
                 ownerClock,
@@ -92,7 +87,7 @@
     void reportsAnErrorThatIsNoException() {
         Node node = new Node("node-1");
         runFirstJob();
-        onLoop(() -> outOfMemory.getAndSet(true));
+        outOfMemory.set(true);
 
         await("the error", () -> !errors.isEmpty());
         assertThat(errors.get(0)).isInstanceOf(OutOfMemoryError.class);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -331,6 +331,19 @@
         assertThat(calls.leases.get(1)).isZero();
     }
 
+    /** Guards against a session that ends without a word, and so against work that expires. */
+    @Test
+    void goesOnRenewingAfterAnUnexpectedException() throws Exception {
+        session.call(
+                () -> {
+                    throw new IllegalStateException("unexpected");
+                });
+        calls.renewals.get(0).complete(report());
+        loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).get();
+
+        assertThat(calls.renewals).hasSize(2);
+    }
+
     /** Guards against calls to a worker whose instance is gone while its entry remains. */
     @Test
     void distinguishesTheEntryOfAnEndedWorkerFromALaterOne() {
