Count what jobs take of an owner's memory as measured

FleetMemory counted three times what a definition takes: 89 KB for a job with 200 steps and 4,000 characters, where 2,000 of them take 27 KB each in a heap of 160 MB. It counts 58 KB now, still more than is taken, and the limit is 48 MiB instead of 32: at two steps a job, about 40,000 jobs that wait or have ended within three minutes. The same program shows 160 bytes for an open task, 25 MB for the 150,000 that may be open.

AdmissionGateTest checks the exact number of jobs that an instance accepts before the owner counts; before, a range.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetMemory.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetMemory.java
@@ -11,15 +11,14 @@
  */
 public final class FleetMemory {
     /** What the jobs that an owner knows may take. */
-    static final long MAX_MIB = 32;
-
-    private static final int MIB_SHIFT = 20;
+    public static final long MAX_MIB = 48;
 
     /** Time in which an owner may have forgotten some jobs. */
     public static final long RETRY_AFTER_SECONDS = 5;
 
-    private static final long JOB_BYTES = 1_000;
-    private static final long STEP_BYTES = 400;
+    private static final int MIB_SHIFT = 20;
+    private static final long JOB_BYTES = 700;
+    private static final long STEP_BYTES = 250;
     private static final long CHARACTER_BYTES = 2;
 
     private FleetMemory() {}
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/AdmissionGateTest.java
@@ -17,6 +17,7 @@
 import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.schedule.AdmissionPolicy;
+import org.quetzalscale.core.schedule.FleetMemory;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.LoadFigures;
 import org.quetzalscale.core.schedule.OrganisationPolicy;
@@ -231,7 +232,7 @@
     /** Guards against an owner that ends for want of memory, because callers submit more (LOST). */
     @Test
     void refusesJobsThatTheOwnerCannotHold() {
-        heldMib = 32;
+        heldMib = FleetMemory.MAX_MIB;
         isRefused(job());
         loop.runUntil(loop.nowMillis() + 2 * PUBLISH_MILLIS);
         assertThat(isRefused(largeJob())).isTrue();
@@ -248,6 +249,7 @@
         while (accepted < 1_000 && !isRefused(largeJob())) {
             accepted++;
         }
-        assertThat(accepted).isBetween(100, 300);
+        long bytesOfTwoInstances = 2 * FleetMemory.bytes(largeJob());
+        assertThat(accepted).isEqualTo((int) ((FleetMemory.MAX_MIB << 20) / bytesOfTwoInstances));
     }
 }
