Wait at a takeover only for workers that were up when it began

While instances moved between pools, a new owner held the jobs of earlier terms for longer than it had to: each list showed workers that had just started and not reported yet, though no earlier owner can have started anything on them.

WorkersAtTakeover keeps the workers of the first list of the term that are still up.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FormerRuns.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FormerRuns.java
@@ -10,8 +10,8 @@
  *
  * @param workersCalled whether every worker with an entry has been called
  * @param entriesReported whether every worker with an entry has reported
- * @param instancesReported whether the list of instances is known and every worker on an instance
- *     that is up has reported
+ * @param instancesReported whether the list of instances is known and all {@link WorkersAtTakeover}
+ *     have reported
  * @param leasesExpired whether every lease that an earlier owner may have given to a worker has
  *     expired, but for workers that have reported
  */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -19,6 +19,7 @@
 import org.quetzalscale.core.lease.Lease;
 import org.quetzalscale.core.schedule.MaintenancePlanner;
 import org.quetzalscale.core.schedule.PoolBalancer;
+import org.quetzalscale.core.schedule.WorkersAtTakeover;
 import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.net.json.Json;
@@ -50,7 +51,7 @@
 
     private Map<Long, Set<InstanceId>> recordedDone;
     private boolean listInProgress;
-    private List<FleetInstance> latestInstances;
+    private final WorkersAtTakeover workersAtTakeover = new WorkersAtTakeover();
     private long lastListMillis = Long.MIN_VALUE / 2;
 
     InstanceController(
@@ -117,26 +118,22 @@
     }
 
     /**
-     * Whether every worker that runs on a listed instance has reported to this owner. A worker's
-     * entry can be missing while the worker still runs tasks of an earlier owner.
+     * Whether every worker that ran on a listed instance when the term began has reported to this
+     * owner. A worker's entry can be missing while the worker still runs tasks of an earlier owner.
      */
     boolean allWorkersReported() {
-        return latestInstances != null && unreportedWorkers().isEmpty();
+        return workersAtTakeover.areKnown() && unreportedWorkers().isEmpty();
     }
 
     /** The workers for which recovered jobs wait, for the log. */
     String describeUnreported() {
-        return latestInstances == null
-                ? "list of instances unknown"
-                : unreportedWorkers().toString();
+        return workersAtTakeover.areKnown()
+                ? unreportedWorkers().toString()
+                : "list of instances unknown";
     }
 
     private List<WorkerId> unreportedWorkers() {
-        return latestInstances.stream()
-                .filter(FleetInstance::up)
-                .flatMap(instance -> instance.worker().stream())
-                .filter(worker -> !term.scheduler().hasReported(worker))
-                .toList();
+        return workersAtTakeover.unreported(term.scheduler()::hasReported);
     }
 
     /** Adds the waves with the time left until their deadlines, and the pending moves. */
@@ -197,10 +194,10 @@
     }
 
     private void updateInstances(List<FleetInstance> list, long requestedMillis) {
-        latestInstances =
+        workersAtTakeover.update(
                 list.stream()
                         .filter(instance -> !term.scheduler().isStandby(instance.pool()))
-                        .toList();
+                        .toList());
         term.scheduler().updateInstances(list, clock.nowMillis()).forEach(this::endSession);
         balancer.updateInstances(list, requestedMillis, clock.nowMillis())
                 .forEach(this::endSession);
