--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/ExcessTakeoverTest.java
@@ -126,7 +126,7 @@
      */
     private RateView waitingJobs() {
         long endedWithin =
-                worker.starts.subList(0, ENDED).stream()
+                List.copyOf(worker.starts).subList(0, ENDED).stream()
                         .map(start -> Integer.parseInt(start.task().job().value(), 16))
                         .filter(number -> number <= WITHIN_RATE)
                         .count();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FakeWorker.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FakeWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
@@ -23,7 +24,7 @@
 final class FakeWorker implements WorkerCalls {
     private static final int ANSWER_MILLIS = 5;
 
-    final List<StartOrder> starts = new ArrayList<>();
+    final List<StartOrder> starts = new CopyOnWriteArrayList<>();
     private final Map<TaskRef, Long> running = new LinkedHashMap<>();
     private final List<FinishedRun> finished = new ArrayList<>();
     private long fence;
