Test that a partitioned former owner runs no task twice

On one side of a partition are the owner and a worker, on the other side everything else. The simulation's cuts had always been between an instance and all workers, so this was never played.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.WorkerId;
@@ -47,6 +49,9 @@
     private static final long UNLISTED_INTERVAL_MILLIS = 4_000;
     private static final int MIN_UNLISTED_MILLIS = 1_000;
     private static final int UNLISTED_SPREAD_MILLIS = 7_000;
+    private static final long PARTITION_INTERVAL_MILLIS = 12_000;
+    private static final int MIN_PARTITION_MILLIS = 4_000;
+    private static final int PARTITION_SPREAD_MILLIS = 10_000;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
     private static final long WAVE_MILLIS = 25_000;
@@ -189,6 +194,8 @@
                             });
             case UNLISTED_WORKERS ->
                     loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
+            case PARTITIONED_OWNER ->
+                    loop.after(MIN_PARTITION_MILLIS + random.nextInt(1_000), this::partitionOwner);
             default -> {
                 store.jobReadMillis =
                         injected == SimulationFaults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
@@ -253,6 +260,46 @@
         forOwner(node -> node.process.freeze(millis));
     }
 
+    /**
+     * Divides the network: on one side the owner and a worker, on the other side the store, the
+     * other instances and the other workers.
+     */
+    private void partitionOwner() {
+        if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
+            return;
+        }
+        loop.after(PARTITION_INTERVAL_MILLIS, this::partitionOwner);
+        Set<String> near = Set.of(presentWorker().id);
+        Set<String> far =
+                instances.workers().stream()
+                        .map(worker -> worker.id)
+                        .filter(id -> !near.contains(id))
+                        .collect(Collectors.toSet());
+        long millis = MIN_PARTITION_MILLIS + random.nextInt(PARTITION_SPREAD_MILLIS);
+        forOwner(
+                owner -> {
+                    faults.add(
+                            loop.nowMillis()
+                                    + (": only " + owner.name + " reaches " + near)
+                                    + (", and nothing else, for " + millis));
+                    applyFor(millis, () -> divide(owner, near, far), this::unite);
+                });
+    }
+
+    private void divide(Node owner, Set<String> near, Set<String> far) {
+        for (Node node : nodes) {
+            node.process.cutFrom(node == owner ? far : near);
+        }
+        owner.process.store = SimulatedProcess.StoreAccess.NOT_ANSWERED;
+    }
+
+    private void unite() {
+        for (Node node : nodes) {
+            node.process.cutFrom(Set.of());
+            node.process.store = SimulatedProcess.StoreAccess.SERVED;
+        }
+    }
+
     private void forOwner(Consumer<Node> action) {
         nodes.stream()
                 .filter(node -> node.process.isAlive() && node.owner.isOwner())
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -44,6 +44,7 @@
             run(variant, seed);
             run(SimulationVariant.PLAIN, SimulationFaults.CRASHING_TASK, seed);
             run(variant, SimulationFaults.UNLISTED_WORKERS, seed);
+            run(variant, SimulationFaults.PARTITIONED_OWNER, seed);
         }
     }
 
@@ -162,6 +163,16 @@
         run(variant, SimulationFaults.UNLISTED_WORKERS, seed);
     }
 
+    /**
+     * Guards against a second run of a task (TWICE) whose worker only a former owner reaches. That
+     * owner learns of the next one neither from the store nor from a worker.
+     */
+    @Property(tries = 100, seed = "3190466127", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceWhileAFormerOwnerIsPartitioned(
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.PARTITIONED_OWNER, seed);
+    }
+
     private static void run(SimulationVariant variant, long seed) {
         run(variant, SimulationFaults.DRAWN, seed);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
@@ -85,7 +85,7 @@
             WorkerEntry worker, long leaseClockMillis, long number, int waitMillis, long fence) {
         CompletableFuture<WorkerReport> reply = new CompletableFuture<>();
         SimulatedWorker target = workers.get(worker.id());
-        boolean cut = process.cutFromWorkers;
+        boolean cut = !process.canCall(target.id);
         if (connected.add(worker.id())) {
             process.occupy(faults.connectMillis);
         }
@@ -124,7 +124,7 @@
     private CompletionStage<OrderAnswer> order(
             SimulatedWorker worker, Supplier<OrderAnswer> order) {
         CompletableFuture<OrderAnswer> reply = new CompletableFuture<>();
-        if (process.cutFromWorkers) {
+        if (!process.canCall(worker.id)) {
             process.deliver(ORDER_TIMEOUT_MILLIS, reply, OrderAnswer.UNKNOWN);
             return reply;
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** A process that may be frozen, killed, and cut off from the store or from the workers. */
@@ -25,10 +26,21 @@
     StoreAccess store = StoreAccess.SERVED;
     boolean cutFromWorkers;
 
+    /** Workers that this process cannot call, although others may. */
+    private Set<String> unreachableWorkers = Set.of();
+
     SimulatedProcess(VirtualLoop loop) {
         this.loop = loop;
     }
 
+    boolean canCall(String worker) {
+        return !cutFromWorkers && !unreachableWorkers.contains(worker);
+    }
+
+    void cutFrom(Set<String> workers) {
+        unreachableWorkers = workers;
+    }
+
     /** Runs the action, once the process is neither frozen nor busy; never if it was killed. */
     void run(Runnable action) {
         if (killed) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
@@ -30,5 +30,10 @@
      * seconds, and meanwhile the owner is killed, or frozen until after the next one has taken
      * over.
      */
-    UNLISTED_WORKERS
+    UNLISTED_WORKERS,
+    /**
+     * Again and again the owner and one worker are cut off from the store and from all others, and
+     * reach each other.
+     */
+    PARTITIONED_OWNER
 }
