Stop a former owner that cannot tell whether it still owns the fleet

Cause: an owner whose lease had expired went on for as long as nobody told it otherwise, because the store may be away for all. The next owner counted on being noticed within 1.5 s, through the store or through a worker that both call. On the near side of a partition with one worker there is neither: the former owner renewed that worker's lease and started tasks on it for as long as the partition lasted, and 6.7 s after the takeover the same tasks ran elsewhere.

Change: TermValidity bounds how long an owner acts: 1.5 s after the request of its last successful renewal, or of a round in which every registered sibling either refused the connection or answered that the store does not respond to it and that it has seen no later holder. A new owner reads the lease for 1.5 s without a renewal before it takes it, so the former one has stopped by then. While a term is not valid no order passes and no worker's lease is extended. The question to the siblings is a new frame of the relay; an older release closes the connection, which confirms nothing.

--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -55,6 +55,7 @@
     private long observedVersion = NOT_OBSERVED;
     private long observedSinceMillis;
     private long observedAtMillis;
+    private LeaseRow lastRead = new LeaseRow("", 0);
     private Lease held;
     private long heldUntilMillis;
 
@@ -156,6 +157,26 @@
         }
     }
 
+    /** When the call was sent that acquired the lease, or renewed it last. */
+    public long confirmedMillis() {
+        lock.lock();
+        try {
+            return heldUntilMillis - options.leaseMillis();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The lease row that was read last; a free lease that was never renewed if none was read. */
+    public LeaseRow lastRead() {
+        lock.lock();
+        try {
+            return lastRead;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Renews the lease or tries to acquire it. Must be called every {@link #RENEW_MILLIS}. The
      * stage never fails: after an error of the table, the next call retries.
@@ -210,7 +231,9 @@
         if (row.isEmpty()) {
             return acquire(row, startedMillis);
         }
-        unanswered.rowRead(decode(row.get()).holder(), row.get().version());
+        LeaseRow read = decode(row.get());
+        recordRead(read);
+        unanswered.rowRead(read.holder(), row.get().version());
         boolean own = isOwn(row.get());
         if (own && isHeld()) {
             return renew(row.get(), startedMillis);
@@ -272,6 +295,15 @@
                 .thenAccept(result -> recordAcquisition(result, startedMillis, renewals));
     }
 
+    private void recordRead(LeaseRow row) {
+        lock.lock();
+        try {
+            lastRead = row;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void noteAnswer(long rowVersion, CommitResult result, Throwable failure) {
         if (failure != null) {
             unanswered.failed(rowVersion, failure);
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetContext.java
@@ -20,6 +20,7 @@
  * @param workers where the entries of workers are stored
  * @param instances client for the platform's instances
  * @param waveStatus where the state of waves is published
+ * @param siblings asked while the store does not confirm the owner's lease
  * @param looksAhead whether placement reserves capacity and selects jobs at overload
  */
 public record FleetContext(
@@ -32,8 +33,9 @@
         WaveStatusRows waveStatus,
         Times times,
         FleetMetrics metrics,
+        SiblingViews siblings,
         boolean looksAhead) {
-    /** Creates a context whose placement does not look ahead. */
+    /** Creates a context without siblings whose placement does not look ahead. */
     public FleetContext(
             InstanceId self,
             LoopClock clock,
@@ -44,7 +46,18 @@
             WaveStatusRows waveStatus,
             Times times,
             FleetMetrics metrics) {
-        this(self, clock, table, calls, workers, instances, waveStatus, times, metrics, false);
+        this(
+                self,
+                clock,
+                table,
+                calls,
+                workers,
+                instances,
+                waveStatus,
+                times,
+                metrics,
+                SiblingViews.NO_SIBLINGS,
+                false);
     }
 
     /** This context with other clients for workers and instances. */
@@ -59,6 +72,7 @@
                 waveStatus,
                 times,
                 metrics,
+                siblings,
                 looksAhead);
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
@@ -5,16 +5,18 @@
 import java.util.function.Supplier;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.TermValidity;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.Row;
 import org.tinylog.Logger;
 
 /**
- * Lets the orders of an owner pass while its process runs without pauses. After a pause another
- * instance may own the fleet, so no order passes until the store confirms that the lease has not
- * been taken. If it has, the term ends. What operators wrote during the pause is read as well,
- * because the first orders after it must not start tasks in a zone that they evacuate since.
+ * Lets the orders of an owner pass while its process runs without pauses and its term is valid.
+ * After a pause another instance may own the fleet, so no order passes until the store confirms
+ * that the lease has not been taken. If it has, the term ends. What operators wrote during the
+ * pause is read as well, because the first orders after it must not start tasks in a zone that they
+ * evacuate since.
  *
  * <p>Orders are refused and not kept: by the time of the confirmation the scheduler may have
  * decided otherwise, for example because the worker restarted.
@@ -22,16 +24,13 @@
 final class OrderGate {
     private static final long RETRY_DELAY_MILLIS = 50;
 
-    /** Time in which a worker that follows another owner rejects a renewal. */
-    private static final long REJECTION_MILLIS = 500;
-
     private final FeedTable table;
     private final LoopClock clock;
     private final Condition fence;
+    private final TermValidity validity;
     private final WorkerSession.Term term;
     private final Supplier<CompletionStage<Void>> operatorRead;
     private final PauseGate gate;
-    private long closedMillis;
 
     /**
      * Creates a gate that is open.
@@ -42,11 +41,13 @@
             FeedTable table,
             LoopClock clock,
             Condition fence,
+            TermValidity validity,
             WorkerSession.Term term,
             Supplier<CompletionStage<Void>> operatorRead) {
         this.table = table;
         this.clock = clock;
         this.fence = fence;
+        this.validity = validity;
         this.term = term;
         this.operatorRead = operatorRead;
         this.gate =
@@ -62,23 +63,22 @@
         gate.stop();
     }
 
-    /** Whether an order may be sent now. If not, the confirmation of the lease is under way. */
+    /** Whether an order may be sent now. */
     boolean isOpen() {
-        return gate.isOpen();
+        return gate.isOpen() && validity.isValid(clock.nowMillis());
     }
 
     /**
-     * Whether renewals may extend the leases of workers. After a pause they may not before the
-     * lease is confirmed, or another owner's workers had the time to reject a renewal: that owner
-     * starts tasks elsewhere when the leases that it knows of have expired. If neither happens, the
-     * store is away, and leases are extended to keep work alive.
+     * Whether renewals may extend the leases of workers. After a pause they may before the store
+     * has confirmed the lease, if the siblings show that the store is away for all.
      */
     boolean permitsLeaseExtension() {
-        return gate.isOpen() || clock.nowMillis() - closedMillis >= REJECTION_MILLIS;
+        gate.checkPause();
+        return validity.isValid(clock.nowMillis());
     }
 
     private void closed() {
-        closedMillis = clock.nowMillis();
+        validity.pause(clock.nowMillis());
         Logger.info("event=owner_paused fence={}", fence.version());
     }
 
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -11,7 +11,9 @@
 import org.quetzalscale.core.lease.LeaseKeeper;
 import org.quetzalscale.core.lease.LeaseRow;
 import org.quetzalscale.core.lease.OwnerPreference;
+import org.quetzalscale.core.lease.TermValidity;
 import org.quetzalscale.core.schedule.FleetPolicy;
+import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.net.json.Json;
 import org.tinylog.Logger;
 
@@ -19,11 +21,13 @@
  * Competes for the owner's lease, and owns the fleet while it holds the lease.
  *
  * <p>While the store is unavailable to all instances, nobody can take the lease, and the owner
- * continues. An owner that is the only one to lose the store is replaced, and learns this from its
- * workers.
+ * continues. An owner that cannot tell that from being cut off stops to act before another one
+ * takes over ({@link TermValidity}).
  */
 public final class OwnerService {
-    private static final long LEASE_MILLIS = 1_500;
+    /** The row of the owner's lease. */
+    public static final RowKey LEASE_KEY = RowKey.of("lease", FleetRows.SHARD);
+
     private static final long RENEW_INTERVAL_MILLIS = 350;
 
     /**
@@ -34,6 +38,7 @@
 
     private final FleetContext context;
     private final PolicyWatcher policies;
+    private final InstanceId self;
     private final LeaseKeeper keeper;
     private OwnerTerm term;
     private long fencedVersion = -1;
@@ -47,7 +52,8 @@
      */
     public OwnerService(FleetContext context, PolicyWatcher policies, OwnerPreference preference) {
         String name = context.self().value() + START_TIME_SEPARATOR;
-        String self = name + Long.toString(context.clock().epochMillis().getAsLong(), 36);
+        String holderName = name + Long.toString(context.clock().epochMillis().getAsLong(), 36);
+        this.self = new InstanceId(holderName);
         this.context = context;
         this.policies = policies;
         this.keeper =
@@ -55,13 +61,13 @@
                         context.table(),
                         Json.codec(LeaseRow.class),
                         FleetRows.SHARD,
-                        new InstanceId(self),
+                        self,
                         context.clock().time(),
                         new LeaseKeeper.Options(
-                                LEASE_MILLIS,
+                                TermValidity.DURATION_MILLIS,
                                 // An instance runs one process at a time, so the process of an
                                 // earlier lease has ended.
-                                holder -> holder.startsWith(name) && !holder.equals(self),
+                                holder -> holder.startsWith(name) && !holder.equals(holderName),
                                 Optional.of(FleetRows.OWNER),
                                 preference::waitMillis,
                                 OwnerService::logAcquisition));
@@ -100,6 +106,11 @@
         return owner;
     }
 
+    /** The row of the lease as this instance has read it last. */
+    public LeaseRow lastLeaseRow() {
+        return keeper.lastRead();
+    }
+
     /** The term of this instance; empty if another one owns the fleet. */
     Optional<OwnerTerm> term() {
         return Optional.ofNullable(term);
@@ -143,10 +154,13 @@
         }
         long version = lease.get().fence().version();
         if (term != null && term.fence() == version) {
+            term.confirm(keeper.confirmedMillis());
             return;
         }
         endTerm();
-        term = new OwnerTerm(context, policies, lease.get(), () -> fenced(version));
+        TermValidity validity =
+                new TermValidity(self, lease.get().generation(), keeper.confirmedMillis());
+        term = new OwnerTerm(context, policies, lease.get(), validity, () -> fenced(version));
         owner = true;
         context.metrics().owner(true);
         term.start();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -1,6 +1,5 @@
 package org.quetzalscale.daemon.fleet;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,14 +11,12 @@
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.lease.Lease;
-import org.quetzalscale.core.schedule.FleetMemory;
+import org.quetzalscale.core.lease.TermValidity;
 import org.quetzalscale.core.schedule.FleetOverview;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.schedule.FormerRuns;
-import org.quetzalscale.core.schedule.LoadObserver;
 import org.quetzalscale.core.schedule.OrderSender;
-import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.RowSnapshot;
@@ -46,8 +43,6 @@
      */
     private static final long PLAN_PAUSE_FACTOR = 2;
 
-    private static final long PUBLISH_INTERVAL_MILLIS = 800;
-
     /** Rows of a snapshot that are decoded in one turn of the loop. */
     private static final int ROWS_PER_TURN = 100;
 
@@ -62,6 +57,8 @@
     private final FleetContext context;
     private final LoopClock clock;
     private final OrderGate gate;
+    private final TermValidity validity;
+    private final SiblingPoll siblingPoll;
     private final PolicyWatcher policies;
     private final Lease lease;
     private final FleetScheduler scheduler;
@@ -72,8 +69,7 @@
     private final EndedJobHistory endedHistory;
     private final ProgressRecorder recorder;
     private final InstanceController instanceController;
-    private final OwnedRow waitingRow;
-    private final LoadObserver load;
+    private final WaitingCounts waitingCounts;
     private final Runnable onFenced;
     private final Map<WorkerId, WorkerSession> sessions = new LinkedHashMap<>();
     private final WorkerDirectory workers;
@@ -82,13 +78,24 @@
     private boolean scheduling;
     private boolean planPending;
     private long lastPlanMillis;
-    private String publishedCounts = "";
 
-    OwnerTerm(FleetContext services, PolicyWatcher policies, Lease lease, Runnable onFenced) {
+    OwnerTerm(
+            FleetContext services,
+            PolicyWatcher policies,
+            Lease lease,
+            TermValidity validity,
+            Runnable onFenced) {
         this.clock = services.clock();
         this.gate =
                 new OrderGate(
-                        services.table(), clock, lease.fence(), this, policies::readEvacuatedZones);
+                        services.table(),
+                        clock,
+                        lease.fence(),
+                        validity,
+                        this,
+                        policies::readEvacuatedZones);
+        this.validity = validity;
+        this.siblingPoll = new SiblingPoll(clock, services.siblings(), validity, this);
         this.context =
                 services.withCalls(
                         new GatedWorkerCalls(services.calls(), gate),
@@ -127,8 +134,7 @@
                         sessions,
                         endedJobs::add,
                         onFenced);
-        this.load = new LoadObserver(scheduler);
-        this.waitingRow = new OwnedRow(context.table(), lease.fence(), FleetRows.WAITING);
+        this.waitingCounts = new WaitingCounts(context, lease.fence(), this, overview);
         this.instanceController = new InstanceController(context, policies, lease, this, sessions);
     }
 
@@ -144,6 +150,7 @@
         }
         Logger.info("event=term_begins fence={}", fence());
         gate.start();
+        siblingPoll.start();
         workers.start();
         load();
     }
@@ -157,6 +164,15 @@
         Logger.info("event=term_ends fence={}", fence());
     }
 
+    /**
+     * Records a renewal of the lease.
+     *
+     * @param askedMillis when it was sent
+     */
+    void confirm(long askedMillis) {
+        validity.confirm(askedMillis);
+    }
+
     void updatePolicy(FleetPolicy policy) {
         scheduler.updatePolicy(policy);
         planSoon();
@@ -295,7 +311,7 @@
         jobFeed.watch(jobs.version());
         workers.jobsLoaded();
         planPeriodically();
-        publishPeriodically();
+        waitingCounts.start();
         instanceController.start();
         endedJobs.deletePeriodically();
         endedHistory.decode();
@@ -411,7 +427,9 @@
             return;
         }
         releaseRecoveredJobs(now);
-        scheduler.plan(now, clock.epochMillis().getAsLong());
+        if (gate.isOpen()) {
+            scheduler.plan(now, clock.epochMillis().getAsLong());
+        }
         context.metrics().lastingTasksInEvacuatedZones(scheduler.lastingTasksInEvacuatedZones());
         recorder.flush();
         lastPlanMillis = clock.nowMillis() - now;
@@ -443,35 +461,4 @@
                 instanceController.allWorkersReported(),
                 leasesExpired);
     }
-
-    private String waitingCounts() {
-        ObjectNode counts = JsonNodeFactory.instance.objectNode();
-        scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
-        LoadRow.writeJobMib(FleetMemory.toMib(scheduler.jobBytes()), counts);
-        load.observe(clock.nowMillis(), clock.epochMillis().getAsLong())
-                .ifPresent(figures -> LoadRow.write(figures, counts));
-        return counts.toString();
-    }
-
-    private void publishPeriodically() {
-        if (ended) {
-            return;
-        }
-        context.metrics().rates(overview.rates());
-        String text = waitingCounts();
-        if (!text.equals(publishedCounts)) {
-            publishedCounts = text;
-            waitingRow
-                    .write(() -> List.of(Mutation.put(FleetRows.WAITING, waitingCounts())))
-                    .whenComplete(
-                            (isOwner, failure) -> {
-                                if (failure != null) {
-                                    publishedCounts = "";
-                                } else if (!isOwner) {
-                                    fenced("store");
-                                }
-                            });
-        }
-        clock.after(PUBLISH_INTERVAL_MILLIS, this::publishPeriodically);
-    }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
@@ -53,15 +53,17 @@
 
     /** Whether the gate is open. If not, the confirmation is under way. */
     boolean isOpen() {
-        if (detector.pauses() == confirmedPauses) {
-            return true;
-        }
-        if (!confirming) {
+        checkPause();
+        return !confirming;
+    }
+
+    /** Closes the gate if there was a pause. */
+    void checkPause() {
+        if (detector.pauses() != confirmedPauses && !confirming) {
             confirming = true;
             onClose.run();
             confirm();
         }
-        return !confirming;
     }
 
     private void confirm() {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerLease.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerLease.java
@@ -1,5 +1,7 @@
 package org.quetzalscale.daemon.fleet;
 
+import org.quetzalscale.core.lease.TermValidity;
+
 /**
  * Lease of the runs on a worker, as their owner knows it. The runs end if the lease is not extended
  * in time. Times are milliseconds of the owner's monotonic clock.
@@ -11,9 +13,6 @@
     /** Longest duration on the owner's clock: the clocks of workers may be 2% slow. */
     private static final long BOUND_MILLIS = DURATION_MILLIS * 102 / 100 + 100;
 
-    /** Time in which a former owner learns that its own lease was taken. */
-    private static final long FENCE_NOTICE_MILLIS = 1_500;
-
     private long clockOffsetMillis;
     private boolean clockKnown;
     private long untilMillis;
@@ -29,11 +28,11 @@
     }
 
     /**
-     * How long runs of an earlier owner may continue after its lease was taken: that owner renews
-     * its workers until it learns of the takeover from a worker or from the store.
+     * How long runs of an earlier owner may continue after its lease was taken: that owner extends
+     * the leases of workers while its term is valid.
      */
     static long formerBoundMillis() {
-        return BOUND_MILLIS + FENCE_NOTICE_MILLIS;
+        return BOUND_MILLIS + TermValidity.DURATION_MILLIS;
     }
 
     /** Whether the worker's clock is known, which the end of an extension is expressed in. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayClient.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayClient.java
@@ -5,9 +5,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,6 +23,7 @@
 import java.util.function.LongFunction;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
@@ -94,6 +97,30 @@
                 .thenApply(reply -> expectReply(RelayFrame.Committed.class, reply).result());
     }
 
+    /**
+     * Asks what the sibling knows of the fleet's lease. The answer is empty if the sibling's
+     * process does not run; the stage fails if that is not known.
+     */
+    CompletionStage<Optional<LeaseView>> viewLease() {
+        return call(RelayFrame.ViewLease::new, CALL_TIMEOUT_MILLIS)
+                .handle(
+                        (reply, failure) -> {
+                            if (failure == null) {
+                                return Optional.of(
+                                        expectReply(RelayFrame.LeaseViewed.class, reply).view());
+                            }
+                            QuetzalscaleException error = QuetzalscaleException.from(failure);
+                            if (isRefusedConnection(error.getCause())) {
+                                return Optional.empty();
+                            }
+                            throw error;
+                        });
+    }
+
+    private static boolean isRefusedConnection(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     boolean isConnected() {
         return connection != null;
     }
@@ -222,7 +249,8 @@
                             "cannot connect to the sibling at "
                                     + address
                                     + ": "
-                                    + connected.cause()));
+                                    + connected.cause(),
+                            connected.cause()));
             return;
         }
         connection = installed.get();
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayCodec.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayCodec.java
@@ -12,6 +12,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -29,6 +30,8 @@
     private static final int ROWS = 5;
     private static final int COMMITTED = 6;
     private static final int FAILED = 7;
+    private static final int VIEW_LEASE = 8;
+    private static final int LEASE_VIEWED = 9;
     private static final int MAX_ENTRIES = 100_000;
 
     private RelayCodec() {}
@@ -80,6 +83,10 @@
             return ROWS;
         } else if (frame instanceof RelayFrame.Committed) {
             return COMMITTED;
+        } else if (frame instanceof RelayFrame.ViewLease) {
+            return VIEW_LEASE;
+        } else if (frame instanceof RelayFrame.LeaseViewed) {
+            return LEASE_VIEWED;
         }
         return FAILED;
     }
@@ -105,6 +112,10 @@
             packOptional(committed.result().conflict().map(RowKey::value), packer);
         } else if (frame instanceof RelayFrame.Failed failed) {
             packer.packString(failed.kind().name()).packString(failed.message());
+        } else if (frame instanceof RelayFrame.LeaseViewed viewed) {
+            LeaseView view = viewed.view();
+            packer.packBoolean(view.tableResponds());
+            packer.packString(view.holder()).packLong(view.renewals());
         }
     }
 
@@ -149,6 +160,14 @@
                             callId,
                             ErrorKind.valueOf(unpacker.unpackString()),
                             unpacker.unpackString());
+            case VIEW_LEASE -> new RelayFrame.ViewLease(callId);
+            case LEASE_VIEWED ->
+                    new RelayFrame.LeaseViewed(
+                            callId,
+                            new LeaseView(
+                                    unpacker.unpackBoolean(),
+                                    unpacker.unpackString(),
+                                    unpacker.unpackLong()));
             default -> throw malformed("unknown frame type " + type, null);
         };
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayFrame.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayFrame.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.quetzalscale.core.error.ErrorKind;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.RowKey;
@@ -24,6 +25,12 @@
     /** Call that commits a transaction. */
     record Commit(long callId, Transaction transaction) implements RelayFrame {}
 
+    /** Call for what the sibling knows of the fleet's lease. */
+    record ViewLease(long callId) implements RelayFrame {}
+
+    /** Reply with what the sibling knows of the fleet's lease. */
+    record LeaseViewed(long callId, LeaseView view) implements RelayFrame {}
+
     /**
      * Reply with rows that were read, or that changed; a reply may need several frames.
      *
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayServer.java
@@ -14,11 +14,15 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.LeaseRow;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.Row;
+import org.quetzalscale.daemon.fleet.OwnerService;
 import org.quetzalscale.net.TcpListeners;
 import org.quetzalscale.net.frame.FrameConnection;
 
@@ -34,6 +38,7 @@
     private final EventLoopGroup group;
     private final FeedTable direct;
     private final Predicate<RelayFrame> canServe;
+    private final Supplier<LeaseView> leaseView;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel listener;
 
@@ -44,25 +49,43 @@
      * @param direct this instance's own client of the store, so that no call is relayed twice
      * @param canServe whether the store serves this instance for the call; other calls fail
      *     immediately
+     * @param leaseView what this instance knows of the fleet's lease
      */
     RelayServer(
             InetSocketAddress bindAddress,
             EventLoopGroup group,
             FeedTable direct,
-            Predicate<RelayFrame> canServe) {
+            Predicate<RelayFrame> canServe,
+            Supplier<LeaseView> leaseView) {
         this.bindAddress = bindAddress;
         this.group = group;
         this.direct = direct;
         this.canServe = canServe;
+        this.leaseView = leaseView;
     }
 
-    /** Creates a server that executes the calls for which the table reaches the store directly. */
+    /**
+     * Creates a server that executes the calls for which the table reaches the store directly.
+     *
+     * @param leaseRow the row of the fleet's lease as this instance has read it last
+     */
     public static RelayServer of(
             InetSocketAddress bindAddress,
             EventLoopGroup group,
             FeedTable direct,
-            RelayedTable table) {
-        return new RelayServer(bindAddress, group, direct, call -> isDirect(table, call));
+            RelayedTable table,
+            Supplier<LeaseRow> leaseRow) {
+        return new RelayServer(
+                bindAddress,
+                group,
+                direct,
+                call -> isDirect(table, call),
+                () -> viewOf(leaseRow.get(), table));
+    }
+
+    private static LeaseView viewOf(LeaseRow row, RelayedTable table) {
+        boolean responds = table.isDirect(OwnerService.LEASE_KEY.value());
+        return new LeaseView(responds, row.holder(), row.renewals());
     }
 
     private static boolean isDirect(RelayedTable table, RelayFrame call) {
@@ -99,6 +122,10 @@
     }
 
     private void handle(RelayFrame frame, FrameConnection<RelayFrame> connection) {
+        if (frame instanceof RelayFrame.ViewLease) {
+            connection.send(new RelayFrame.LeaseViewed(frame.callId(), leaseView.get()));
+            return;
+        }
         if (!canServe.test(frame)) {
             connection.send(
                     new RelayFrame.Failed(
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
@@ -49,6 +49,7 @@
     private final Map<String, RouteEntry> routes = new HashMap<>();
     private final Map<InstanceId, RelayClient> clients = new HashMap<>();
     private final Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
+    private boolean siblingsKnown;
 
     /**
      * Limits of the calls that are sent again.
@@ -96,6 +97,7 @@
 
     /** Replaces the addresses of the siblings' relay servers. */
     public void updateSiblings(Map<InstanceId, InetSocketAddress> newAddresses) {
+        siblingsKnown = true;
         for (InstanceId id : List.copyOf(clients.keySet())) {
             if (!addresses.get(id).equals(newAddresses.get(id))) {
                 clients.remove(id).close();
@@ -107,6 +109,16 @@
                 .forEach(entry -> entry.route.updateSiblings(List.copyOf(addresses.keySet())));
     }
 
+    /** Whether the siblings have been read. */
+    boolean areSiblingsKnown() {
+        return siblingsKnown;
+    }
+
+    /** The clients of all siblings. */
+    List<RelayClient> siblingClients() {
+        return addresses.keySet().stream().map(this::clientFor).toList();
+    }
+
     /** Whether calls for the partition of the key or prefix go directly to the store. */
     boolean isDirect(String key) {
         return routeForKey(key).route.isDirect();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -2,30 +2,24 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
-import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.retry.CallRetryBudget;
-import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.share.Resources;
 import org.quetzalscale.core.table.FeedTable;
-import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.JobDefinition;
-import org.quetzalscale.core.task.JobPhase;
-import org.quetzalscale.core.task.JobProgress;
 import org.quetzalscale.core.task.TaskRef;
 import org.quetzalscale.core.task.WorkerEntry;
 
@@ -54,7 +48,6 @@
     private static final int PARTITION_SPREAD_MILLIS = 10_000;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
-    private static final long WAVE_MILLIS = 25_000;
     private static final int SLOW_LOAD_MILLIS = 4_900;
     private static final double FAILURE_PROBABILITY = 0.1;
     private static final long FAULT_PERIOD_MILLIS = 16_000;
@@ -78,6 +71,7 @@
     private final Map<JobId, JobDefinition> jobs = new LinkedHashMap<>();
     private final SimulatedInstances instances =
             new SimulatedInstances(loop, history, SimulatedJobs.POOL, this::replaceWorker);
+    private final SimulatedNetwork network;
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> faults = new ArrayList<>();
 
@@ -90,6 +84,7 @@
         this.injected = injected;
         random = new Random(seed);
         store = new SimulatedStore(loop, random);
+        network = new SimulatedNetwork(loop, store);
         evacuations = new SimulatedEvacuations(loop, store, random, faults::add);
     }
 
@@ -113,10 +108,13 @@
                             loop::nowMillis,
                             () -> SimulatedJobs.EPOCH_MILLIS + loop.nowMillis());
             FeedTable table = store.clientFor(process);
-            PolicyWatcher policies = new PolicyWatcher(table, clock, operatorRows());
+            PolicyWatcher policies =
+                    new PolicyWatcher(
+                            table, clock, SimulatedJobs.operatorRows(MAX_ATTEMPTS, instances));
             owner =
                     new OwnerService(
                             context(name, clock, table, process), policies, new OwnerPreference(1));
+            network.add(name, process, owner);
             gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
             policies.start();
             owner.start();
@@ -260,44 +258,21 @@
         forOwner(node -> node.process.freeze(millis));
     }
 
-    /**
-     * Divides the network: on one side the owner and a worker, on the other side the store, the
-     * other instances and the other workers.
-     */
+    /** Cuts the owner and one worker off from everything else for some seconds. */
     private void partitionOwner() {
         if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
             return;
         }
         loop.after(PARTITION_INTERVAL_MILLIS, this::partitionOwner);
-        Set<String> near = Set.of(presentWorker().id);
-        Set<String> far =
-                instances.workers().stream()
-                        .map(worker -> worker.id)
-                        .filter(id -> !near.contains(id))
-                        .collect(Collectors.toSet());
+        String worker = presentWorker().id;
         long millis = MIN_PARTITION_MILLIS + random.nextInt(PARTITION_SPREAD_MILLIS);
+        faults.add(loop.nowMillis() + ": the owner reaches only " + worker + " for " + millis);
         forOwner(
-                owner -> {
-                    faults.add(
-                            loop.nowMillis()
-                                    + (": only " + owner.name + " reaches " + near)
-                                    + (", and nothing else, for " + millis));
-                    applyFor(millis, () -> divide(owner, near, far), this::unite);
-                });
-    }
-
-    private void divide(Node owner, Set<String> near, Set<String> far) {
-        for (Node node : nodes) {
-            node.process.cutFrom(node == owner ? far : near);
-        }
-        owner.process.store = SimulatedProcess.StoreAccess.NOT_ANSWERED;
-    }
-
-    private void unite() {
-        for (Node node : nodes) {
-            node.process.cutFrom(Set.of());
-            node.process.store = SimulatedProcess.StoreAccess.SERVED;
-        }
+                owner ->
+                        applyFor(
+                                millis,
+                                () -> network.divide(owner.process, worker, instances.workers()),
+                                network::unite));
     }
 
     private void forOwner(Consumer<Node> action) {
@@ -405,10 +380,12 @@
                 () -> {
                     process.store = access;
                     process.cutFromWorkers = all;
+                    process.cutFromSiblings = all;
                 },
                 () -> {
                     process.store = SimulatedProcess.StoreAccess.SERVED;
                     process.cutFromWorkers = false;
+                    process.cutFromSiblings = false;
                 });
     }
 
@@ -460,11 +437,6 @@
     }
 
     private List<String> unfinishedWork() {
-        Map<JobId, JobProgress> progress = new HashMap<>();
-        for (Row row : store.rows(FleetRows.PROGRESS_PREFIX)) {
-            JobProgress found = JobRowCodecs.PROGRESS.decode(row.value());
-            progress.put(found.job(), found);
-        }
         List<String> found = new ArrayList<>();
         if (variant != SimulationVariant.PLAIN && !lasting.allAvailable()) {
             found.add("a lasting task is unavailable");
@@ -478,19 +450,9 @@
                 && !instances.allMaintained()) {
             found.add("the wave is not done");
         }
-        for (JobId id : jobs.keySet()) {
-            if (id.equals(SimulatedJobs.lasting(LASTING_JOB).id())) {
-                continue;
-            }
-            JobPhase phase = progress.containsKey(id) ? progress.get(id).phase() : JobPhase.QUEUED;
-            if (phase == JobPhase.COMPLETED && !history.isDone(id)) {
-                found.add(id + " is completed, and not all of its tasks are done");
-            } else if (phase == JobPhase.FAILED && !history.hasFailed(id)) {
-                found.add(id + " is failed, and no task used up its attempts");
-            } else if (!phase.isFinal()) {
-                found.add(id + " is " + phase);
-            }
-        }
+        Set<JobId> finite = new LinkedHashSet<>(jobs.keySet());
+        finite.remove(SimulatedJobs.lasting(LASTING_JOB).id());
+        found.addAll(new RecordedPhases(store, history).violations(finite));
         return found;
     }
 
@@ -502,18 +464,6 @@
         return jobs.get(task.job()).steps().get(task.step()).need().cores();
     }
 
-    private PolicyWatcher.OperatorRows operatorRows() {
-        FleetPolicy policy = SimulatedJobs.policy(MAX_ATTEMPTS);
-        return new PolicyWatcher.OperatorRows(
-                "op",
-                "op//",
-                new RowKey("op//config"),
-                "op//wave/",
-                "op//evacuate/",
-                text -> policy,
-                text -> new WaveRequest(1, instances.ids(), WAVE_MILLIS, 1));
-    }
-
     private FleetContext context(
             String name, LoopClock clock, FeedTable table, SimulatedProcess process) {
         return new FleetContext(
@@ -526,7 +476,9 @@
                 new FleetContext.WaveStatusRows(
                         number -> new RowKey("status//wave/" + number), (number, done) -> ""),
                 new FleetContext.Times(3_000, SimulatedInstances.MAINTENANCE_MILLIS, 120_000),
-                new FleetMetrics());
+                new FleetMetrics(),
+                () -> network.askSiblings(process),
+                false);
     }
 
     private WorkerEntry entry(String id, String started) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
@@ -4,10 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.lease.LeaseView;
+import org.quetzalscale.core.lease.TermValidity;
 import org.quetzalscale.core.schedule.FleetScheduler;
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.FeedTable;
@@ -16,6 +20,8 @@
 /** Orders of a process that is frozen, in virtual time. */
 final class OrderGateTest implements WorkerSession.Term {
     private static final RowKey EPOCH = new RowKey("lease/fleet/epoch");
+    private static final InstanceId SELF = new InstanceId("node-1");
+    private static final long RENEW_INTERVAL_MILLIS = 350;
     private static final long FREEZE_MILLIS = 3_000;
 
     private final VirtualLoop loop = new VirtualLoop();
@@ -25,6 +31,7 @@
     private long wallClockStepMillis;
     private boolean fenced;
     private CompletableFuture<Void> operatorRead = CompletableFuture.completedFuture(null);
+    private TermValidity validity;
     private OrderGate gate;
 
     @BeforeEach
@@ -37,8 +44,39 @@
                         loop::nowMillis,
                         () -> loop.nowMillis() + wallClockStepMillis);
         FeedTable table = store.clientFor(process);
-        gate = new OrderGate(table, clock, new Condition(EPOCH, version), this, () -> operatorRead);
+        validity = new TermValidity(SELF, 0, loop.nowMillis());
+        gate =
+                new OrderGate(
+                        table,
+                        clock,
+                        new Condition(EPOCH, version),
+                        validity,
+                        this,
+                        () -> operatorRead);
         gate.start();
+        renewPeriodically();
+    }
+
+    /** Renews the lease while the store is available, as the owner's service does. */
+    private void renewPeriodically() {
+        process.run(
+                () -> {
+                    long askedMillis = loop.nowMillis();
+                    store.clientFor(process)
+                            .read(EPOCH)
+                            .thenAccept(row -> validity.confirm(askedMillis));
+                    loop.after(RENEW_INTERVAL_MILLIS, this::renewPeriodically);
+                });
+    }
+
+    /** Tells at intervals that no sibling reaches the store. */
+    private void siblingsReportAnOutage() {
+        LeaseView view = new LeaseView(false, SELF.value(), 0);
+        process.run(
+                () -> {
+                    validity.siblingsAnswered(Optional.of(List.of(view)), loop.nowMillis());
+                    loop.after(RENEW_INTERVAL_MILLIS, this::siblingsReportAnOutage);
+                });
     }
 
     @Override
@@ -148,9 +186,10 @@
 
     /** Guards against work that ends while the store is away, because its owner was paused once. */
     @Test
-    void permitsLeaseExtensionsWhileTheStoreStaysAway() {
+    void permitsLeaseExtensionsWhileTheStoreStaysAwayForAll() {
         loop.runUntil(5_000);
         store.unavailable = true;
+        siblingsReportAnOutage();
         process.freeze(FREEZE_MILLIS);
         order("notices the pause");
         loop.runUntil(10_000);
@@ -159,6 +198,33 @@
         assertThat(gate.permitsLeaseExtension()).isTrue();
     }
 
+    /** Guards against starts that end because the store is away for all. */
+    @Test
+    void passesOrdersWhileTheStoreIsAwayForAll() {
+        loop.runUntil(5_000);
+        store.unavailable = true;
+        siblingsReportAnOutage();
+        loop.runUntil(10_000);
+        order("start");
+
+        assertThat(sent).containsExactly("start");
+    }
+
+    /**
+     * Guards against a former owner that goes on (TWICE): nothing tells it whether the store is
+     * away for all or another instance has taken over.
+     */
+    @Test
+    void permitsNothingWithoutTheStoreAndTheSiblings() {
+        loop.runUntil(5_000);
+        store.unavailable = true;
+        loop.runUntil(5_000 + TermValidity.DURATION_MILLIS);
+        order("start");
+
+        assertThat(sent).isEmpty();
+        assertThat(gate.permitsLeaseExtension()).isFalse();
+    }
+
     /** Guards against starts in a zone that operators evacuate since a moment of the pause. */
     @Test
     void staysClosedUntilItIsReadWhatOperatorsWrote() {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedJobs.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedJobs.java
@@ -8,9 +8,11 @@
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.instance.WaveRequest;
 import org.quetzalscale.core.schedule.FleetPolicy;
 import org.quetzalscale.core.schedule.PoolPolicy;
 import org.quetzalscale.core.schedule.QueuePolicy;
+import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.Recurrence;
 import org.quetzalscale.core.task.StepDefinition;
@@ -23,6 +25,8 @@
     static final int LASTING_TASKS = 3;
     static final int MAX_UNAVAILABLE = 1;
 
+    private static final long WAVE_MILLIS = 25_000;
+
     private SimulatedJobs() {}
 
     /** The configuration with the pool and queue of the jobs. */
@@ -36,6 +40,19 @@
                 Map.of());
     }
 
+    /** The operators' rows: the policy, and a wave over all instances. */
+    static PolicyWatcher.OperatorRows operatorRows(int maxAttempts, SimulatedInstances instances) {
+        FleetPolicy policy = policy(maxAttempts);
+        return new PolicyWatcher.OperatorRows(
+                "op",
+                "op//",
+                new RowKey("op//config"),
+                "op//wave/",
+                "op//evacuate/",
+                text -> policy,
+                text -> new WaveRequest(1, instances.ids(), WAVE_MILLIS, 1));
+    }
+
     /** A job of one to three short steps, which is repeated once in one of four cases. */
     static JobDefinition drawn(int number, Random random) {
         int stepCount = 1 + random.nextInt(3);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedProcess.java
@@ -26,6 +26,8 @@
     StoreAccess store = StoreAccess.SERVED;
     boolean cutFromWorkers;
 
+    boolean cutFromSiblings;
+
     /** Workers that this process cannot call, although others may. */
     private Set<String> unreachableWorkers = Set.of();
 
@@ -102,6 +104,10 @@
         killed = true;
     }
 
+    boolean isFrozen() {
+        return loop.nowMillis() < frozenUntilMillis;
+    }
+
     boolean isAlive() {
         return !killed;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayCodecTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayCodecTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Provide;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.table.ChangedRow;
 import org.quetzalscale.core.table.CommitResult;
 import org.quetzalscale.core.table.Condition;
@@ -76,6 +77,12 @@
                                         keys.map(CommitResult::conflict)))
                         .as(RelayFrame.Committed::new),
                 Combinators.combine(numbers, Arbitraries.of(ErrorKind.values()), texts)
-                        .as(RelayFrame.Failed::new));
+                        .as(RelayFrame.Failed::new),
+                numbers.map(RelayFrame.ViewLease::new),
+                Combinators.combine(
+                                numbers,
+                                Combinators.combine(Arbitraries.of(true, false), texts, numbers)
+                                        .as(LeaseView::new))
+                        .as(RelayFrame.LeaseViewed::new));
     }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
@@ -5,8 +5,10 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,10 +19,12 @@
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
 import org.quetzalscale.core.table.CommitResult;
@@ -58,7 +62,8 @@
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                     group,
                     siblingConnection,
-                    call -> siblingCanServe);
+                    call -> siblingCanServe,
+                    () -> new LeaseView(false, "node-1", 7));
 
     /** One instance's connection to the store. */
     private final class StoreConnection implements FeedTable {
@@ -155,6 +160,51 @@
         assertThat(table.isDirect(KEY.value())).isFalse();
     }
 
+    /**
+     * Guards against taking a sibling that cannot be reached for one that does not run, and the
+     * other way round.
+     */
+    @Nested
+    final class LeaseViews {
+        private final RelayedLeaseViews views = new RelayedLeaseViews(table);
+
+        @Test
+        void areThoseOfTheSiblings() {
+            assertThat(call(views::ask)).contains(List.of(new LeaseView(false, "node-1", 7)));
+        }
+
+        @Test
+        void leaveOutASiblingWithoutAProcess() {
+            server.stop();
+
+            assertThat(call(views::ask)).contains(List.of());
+        }
+
+        @Test
+        void areUnknownIfASiblingDoesNotAnswer() throws IOException {
+            try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                InetSocketAddress address =
+                        new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort());
+                loop.submit(() -> table.updateSiblings(Map.of(SIBLING, address)))
+                        .syncUninterruptibly();
+
+                assertThat(call(views::ask)).isEmpty();
+            }
+        }
+
+        @Test
+        void areUnknownBeforeTheSiblingsAreRead() {
+            RelayedTable unread =
+                    new RelayedTable(
+                            ownConnection,
+                            loop,
+                            TimeSource.system(),
+                            new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
+
+            assertThat(call(new RelayedLeaseViews(unread)::ask)).isEmpty();
+        }
+    }
+
     /** Guards against treating a relayed conflict as success or as an outage. */
     @Test
     void relaysConflicts() {
