Acknowledge nothing to a worker that may have restarted

Cause: a worker that restarts under its id numbers its ends anew. After a renewal without an answer the next one carried the acknowledgement of the former incarnation, so the new one forgot ends that no owner had seen. The tasks were then started again. A renewal without an answer may also be carried out after newer calls; only the first of several raised the token that makes a worker reject it.

Evidence: WorkerSessionTest.acknowledgesNothingToAWorkerThatMayHaveRestarted ([0, 0, 5, 5, 5] before) and raisesTheTokenAfterEachRenewalWithoutAnAnswer failed before.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -284,7 +284,9 @@
                         && lastRecordedNumber == lastSeenNumber;
         int waitMillis = longPoll ? LONG_POLL_MILLIS : 0;
         long token = fence.current();
-        calls.renew(entry, leaseUntilClockMillis, lastRecordedNumber, waitMillis, token)
+        // A worker that has been silent may have restarted, and numbers its finished runs anew.
+        long acknowledged = unresponsive ? 0 : lastRecordedNumber;
+        calls.renew(entry, leaseUntilClockMillis, acknowledged, waitMillis, token)
                 .whenComplete(
                         (report, failure) -> {
                             renewing = false;
@@ -408,9 +410,10 @@
             return;
         }
         long now = clock.nowMillis();
+        // Rejects this call if it is carried out late, with its acknowledgement.
+        fence.raise();
         if (!unresponsive) {
             unresponsive = true;
-            fence.raise();
             Logger.warn(
                     "event=worker_silent worker={} cause=\"{}\"", entry.id(), error.getMessage());
             term.scheduler().setUnresponsive(entry.id(), true, now);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -208,6 +208,45 @@
         assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L);
     }
 
+    /**
+     * Guards against a finished run that is acknowledged before it was seen (TWICE): a worker that
+     * did not respond may have restarted, and then numbers its finished runs from 1 again.
+     */
+    @Test
+    void acknowledgesNothingToAWorkerThatMayHaveRestarted() throws Exception {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        calls.renewals.get(1).complete(report(end(5)));
+        session.recordedUpTo(session.seenCursor());
+        failRenewal(2);
+        failRenewal(3);
+
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 5L, 0L, 0L);
+    }
+
+    /**
+     * Guards against an acknowledgement that a restarted worker carries out late (TWICE): each
+     * renewal without an answer is followed by a higher token, which rejects it.
+     */
+    @Test
+    void raisesTheTokenAfterEachRenewalWithoutAnAnswer() throws Exception {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        failRenewal(1);
+        failRenewal(2);
+
+        List<Long> tokens = calls.renewalFences.subList(1, 4);
+        assertThat(tokens).isSorted().doesNotHaveDuplicates();
+    }
+
+    private void failRenewal(int number) throws Exception {
+        calls.renewals
+                .get(number)
+                .completeExceptionally(
+                        new QuetzalscaleException(ErrorKind.TARGET_UNREACHABLE, "refused"));
+        loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).get();
+    }
+
     /**
      * Guards against a start that is carried out late, after the worker restarted and forgot the
      * stops: the first call with a higher token forbids it.
