Take no worker for ended by a list that is older than its last answer

Cause: an unresponsive worker that no listed instance runs counts as ended. The list was judged by the time of its answer, not of its request. Requested while an instance restarts or moves and answered up to a second later, it ended the worker that had come up meanwhile, had been given tasks and was silent for 250 ms. Its session ended too, so nothing stopped what ran there. The planners of moves and maintenance already went by the time of the request.

Change: a worker has ended only by a list that was requested after its last answer, and after its present incarnation became known.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -321,12 +321,15 @@
     }
 
     /**
-     * Updates the instances of the workers. An unresponsive worker that no instance runs has ended.
-     * Its entry may remain for some time, and a later owner would wait for that worker.
+     * Updates the instances of the workers. An unresponsive worker that no instance runs has ended,
+     * unless the list may be older than its last answer. Its entry may remain for some time, and a
+     * later owner would wait for that worker.
      *
+     * @param requestedMillis when the list was requested
      * @return workers that have ended
      */
-    public List<WorkerId> updateInstances(List<FleetInstance> instances, long nowMillis) {
+    public List<WorkerId> updateInstances(
+            List<FleetInstance> instances, long requestedMillis, long nowMillis) {
         Set<WorkerId> running = new HashSet<>();
         // Ended by an order, which may be a former owner's, so that the worker is not cordoned.
         Set<InstanceId> ordered = new HashSet<>();
@@ -347,6 +350,7 @@
         for (WorkerState worker : List.copyOf(fleet.workers.values())) {
             WorkerId id = worker.entry.id();
             if (worker.isUnresponsiveFor(MIN_UNRESPONSIVE_MILLIS, nowMillis)
+                    && worker.heardMillis < requestedMillis
                     && !running.contains(id)) {
                 endedWorkers.add(id);
                 if (!ordered.contains(worker.instance)) {
@@ -399,6 +403,7 @@
             unansweredStarts.stopAll(id, nowMillis);
         }
         worker.unresponsive = false;
+        worker.heardMillis = nowMillis;
         reportHandler.apply(worker, report, ends, sentMillis, nowMillis);
         worker.reported = true;
         stallDetector.check(worker, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/OrderAnswers.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/OrderAnswers.java
@@ -22,6 +22,10 @@
         if (answer != OrderAnswer.UNKNOWN) {
             unansweredStarts.recordAnswer(id, ref, run);
         }
+        WorkerState worker = fleet.workers.get(id);
+        if (worker != null && answer == OrderAnswer.ACCEPTED) {
+            worker.heardMillis = nowMillis;
+        }
         TrackedTask task = fleet.task(ref);
         if (task == null || task.run != run || !id.equals(task.worker)) {
             return;
@@ -38,7 +42,6 @@
             }
             return;
         }
-        WorkerState worker = fleet.workers.get(id);
         if (worker != null && answer != OrderAnswer.OLD_RUN) {
             worker.avoidUntilMillis = nowMillis + AVOID_AFTER_REJECTION_MILLIS;
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
@@ -26,6 +26,7 @@
         if (worker.startedEpochMillis == 0) {
             worker.startedEpochMillis = startedEpochMillis;
         } else if (startedEpochMillis > worker.startedEpochMillis) {
+            worker.heardMillis = nowMillis;
             worker.leftAsPlanned |= worker.entry.draining();
             worker.reported = false;
             unansweredStarts.stopAll(worker.entry.id(), nowMillis);
--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -46,7 +46,7 @@
     private void vanish(int worker) {
         scheduler.setUnresponsive(Samples.workerId(worker), true, now);
         now += 300;
-        scheduler.updateInstances(List.of(), now);
+        scheduler.updateInstances(List.of(), now, now);
     }
 
     /** The worker reports a new incarnation, which runs nothing. */
@@ -314,6 +314,7 @@
                                                 InstanceState.UP,
                                                 "",
                                                 Optional.of(Samples.workerId(worker)))),
+                                now,
                                 now);
                         scheduler.setUnresponsive(Samples.workerId(worker), true, now);
                         now += 300;
@@ -325,6 +326,7 @@
                                                 InstanceState.MAINTENANCE,
                                                 "",
                                                 Optional.empty())),
+                                now,
                                 now);
                     });
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
@@ -75,7 +75,7 @@
 
     private List<MoveOrder> planMoves() {
         balancer.updateInstances(instances, now, now);
-        scheduler.updateInstances(instances, now);
+        scheduler.updateInstances(instances, now, now);
         return balancer.plan(now);
     }
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
@@ -239,7 +239,7 @@
             assertThat(scheduler.allWorkersReported()).isFalse();
 
             now += 500;
-            assertThat(scheduler.updateInstances(List.of(), now))
+            assertThat(scheduler.updateInstances(List.of(), now, now))
                     .containsExactly(Samples.workerId(1));
 
             assertThat(scheduler.allWorkersReported()).isTrue();
@@ -265,6 +265,46 @@
             assertThat(orders.lastStart().worker()).isEqualTo(Samples.workerId(2));
         }
 
+        /**
+         * Guards against a second run of a task (TWICE): the list of instances was requested before
+         * its worker came up, and is answered after the worker has reported, was given the task and
+         * became silent.
+         */
+        @Test
+        void keepTheirTasksIfTheListIsOlderThanTheirLastReport() {
+            now += 100;
+            long requestedMillis = now;
+            RecordedOrders.Start start = startOneTask();
+            confirm(start);
+            now += 100;
+            report(1, List.of(running(start)), List.of());
+            addWorker(2);
+            scheduler.setUnresponsive(start.worker(), true, now);
+
+            now += 300;
+            assertThat(scheduler.updateInstances(List.of(), requestedMillis, now)).isEmpty();
+            plan();
+            assertThat(orders.starts).as("the run goes on, on a worker that is up").hasSize(1);
+
+            assertThat(scheduler.updateInstances(List.of(), now, now)).hasSize(1);
+        }
+
+        /**
+         * Guards against the same failure beside a start that was answered after the last report.
+         */
+        @Test
+        void keepTheirTasksIfTheListIsOlderThanAnAcceptedStart() {
+            now += 100;
+            long requestedMillis = now;
+            now += 100;
+            RecordedOrders.Start start = startOneTask();
+            confirm(start);
+            scheduler.setUnresponsive(start.worker(), true, now);
+
+            now += 300;
+            assertThat(scheduler.updateInstances(List.of(), requestedMillis, now)).isEmpty();
+        }
+
         /**
          * Guards against a worker beyond its capacity (LIMIT): the former run of a task turns out
          * to be done, and the present one is still being stopped.
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -198,7 +198,9 @@
                 list.stream()
                         .filter(instance -> !term.scheduler().isStandby(instance.pool()))
                         .toList());
-        term.scheduler().updateInstances(list, clock.nowMillis()).forEach(this::endSession);
+        term.scheduler()
+                .updateInstances(list, requestedMillis, clock.nowMillis())
+                .forEach(this::endSession);
         balancer.updateInstances(list, requestedMillis, clock.nowMillis())
                 .forEach(this::endSession);
         for (MaintenancePlanner planner : planners.values()) {
