Take a sibling that refuses connections for one that may run

What refuses a connection may be the network. Any sibling without an answer now leaves it open whether the store is away for all.

Price: while the store is away for all and a registered sibling is down, an owner extends no lease after 1.5 s, and runs end when their leases do.

--- a/core/src/main/java/org/quetzalscale/core/lease/TermValidity.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/TermValidity.java
@@ -50,7 +50,7 @@
     /**
      * Records the answers of the siblings.
      *
-     * @param views what each sibling knows; empty if one may be running and did not answer
+     * @param views what each sibling knows; empty if one of them did not answer
      * @param askedMillis when the first of them was asked
      */
     public void siblingsAnswered(Optional<List<LeaseView>> views, long askedMillis) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/SiblingViews.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/SiblingViews.java
@@ -15,7 +15,7 @@
     /**
      * Asks all siblings. The stage does not fail.
      *
-     * @return the views of the siblings that run; empty if one may be running and did not answer
+     * @return the views of all registered siblings; empty if one of them did not answer
      */
     CompletionStage<Optional<List<LeaseView>>> ask();
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayClient.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayClient.java
@@ -5,11 +5,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -97,28 +95,10 @@
                 .thenApply(reply -> expectReply(RelayFrame.Committed.class, reply).result());
     }
 
-    /**
-     * Asks what the sibling knows of the fleet's lease. The answer is empty if the sibling's
-     * process does not run; the stage fails if that is not known.
-     */
-    CompletionStage<Optional<LeaseView>> viewLease() {
+    /** Asks what the sibling knows of the fleet's lease. */
+    CompletionStage<LeaseView> viewLease() {
         return call(RelayFrame.ViewLease::new, CALL_TIMEOUT_MILLIS)
-                .handle(
-                        (reply, failure) -> {
-                            if (failure == null) {
-                                return Optional.of(
-                                        expectReply(RelayFrame.LeaseViewed.class, reply).view());
-                            }
-                            QuetzalscaleException error = QuetzalscaleException.from(failure);
-                            if (isRefusedConnection(error.getCause())) {
-                                return Optional.empty();
-                            }
-                            throw error;
-                        });
-    }
-
-    private static boolean isRefusedConnection(Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+                .thenApply(reply -> expectReply(RelayFrame.LeaseViewed.class, reply).view());
     }
 
     boolean isConnected() {
@@ -249,8 +229,7 @@
                             "cannot connect to the sibling at "
                                     + address
                                     + ": "
-                                    + connected.cause(),
-                            connected.cause()));
+                                    + connected.cause()));
             return;
         }
         connection = installed.get();
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedLeaseViews.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedLeaseViews.java
@@ -10,8 +10,8 @@
 
 /**
  * Asks all registered siblings over the connections on which calls to the store are relayed. A
- * sibling that refuses the connection has no process. One that cannot be reached may be running on
- * the other side of a partition.
+ * sibling without an answer may be running on the other side of a partition, also if its connection
+ * is refused: something between the two may refuse it.
  */
 public final class RelayedLeaseViews implements SiblingViews {
     private final RelayedTable table;
@@ -26,17 +26,16 @@
         if (!table.areSiblingsKnown()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        CompletionStage<Optional<List<LeaseView>>> all =
-                CompletableFuture.completedFuture(Optional.of(new ArrayList<>()));
+        CompletionStage<List<LeaseView>> all = CompletableFuture.completedFuture(new ArrayList<>());
         for (RelayClient sibling : table.siblingClients()) {
             all = all.thenCombine(sibling.viewLease(), RelayedLeaseViews::add);
         }
-        return all.exceptionally(failure -> Optional.empty());
+        return all.handle(
+                (views, failure) -> failure == null ? Optional.of(views) : Optional.empty());
     }
 
-    private static Optional<List<LeaseView>> add(
-            Optional<List<LeaseView>> views, Optional<LeaseView> view) {
-        view.ifPresent(found -> views.ifPresent(list -> list.add(found)));
+    private static List<LeaseView> add(List<LeaseView> views, LeaseView view) {
+        views.add(view);
         return views;
     }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetwork.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetwork.java
@@ -34,7 +34,7 @@
         members.put(instance, new Member(process, owner));
     }
 
-    /** Asks the siblings of a process. A process that was killed refuses connections. */
+    /** Asks the siblings of a process. */
     CompletionStage<Optional<List<LeaseView>>> askSiblings(SimulatedProcess asking) {
         CompletableFuture<Optional<List<LeaseView>>> reply = new CompletableFuture<>();
         loop.after(SIBLING_MILLIS, () -> asking.deliver(SIBLING_MILLIS, reply, viewsFor(asking)));
@@ -45,10 +45,11 @@
         List<LeaseView> views = new ArrayList<>();
         for (Member member : members.values()) {
             SimulatedProcess sibling = member.process();
-            if (sibling == asking || !sibling.isAlive()) {
+            if (sibling == asking) {
                 continue;
             }
-            if (asking.cutFromSiblings || sibling.cutFromSiblings || sibling.isFrozen()) {
+            boolean cut = asking.cutFromSiblings || sibling.cutFromSiblings;
+            if (cut || sibling.isFrozen() || !sibling.isAlive()) {
                 return Optional.empty();
             }
             boolean served =
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
@@ -160,10 +160,7 @@
         assertThat(table.isDirect(KEY.value())).isFalse();
     }
 
-    /**
-     * Guards against taking a sibling that cannot be reached for one that does not run, and the
-     * other way round.
-     */
+    /** Guards against taking a sibling that cannot be reached for one that does not run (TWICE). */
     @Nested
     final class LeaseViews {
         private final RelayedLeaseViews views = new RelayedLeaseViews(table);
@@ -174,10 +171,10 @@
         }
 
         @Test
-        void leaveOutASiblingWithoutAProcess() {
+        void areUnknownIfASiblingRefusesTheConnection() {
             server.stop();
 
-            assertThat(call(views::ask)).contains(List.of());
+            assertThat(call(views::ask)).isEmpty();
         }
 
         @Test
