Add a soak that plays nodes as processes under seeded troubles

The command "soak" of the stand-ins starts nodes of any built checkout with the command of its deploy file, beside a metadata store, a list of instances and workers in its own process, lets troubles drawn from a seed happen to them (signals, cuts, lost and late answers and orders, restarts, moves), and checks what the workers saw: overlapping runs, starts after an acknowledged end, starts after a cancellation or completion, and accepted jobs that do not complete.

--- a/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
+++ b/standin/src/main/java/org/quetzalscale/standin/StandinMain.java
@@ -7,6 +7,7 @@
 import org.quetzalscale.standin.experiment.ExperimentCommand;
 import org.quetzalscale.standin.load.LoadCommand;
 import org.quetzalscale.standin.platform.PlatformCommand;
+import org.quetzalscale.standin.soak.SoakCommand;
 import org.quetzalscale.standin.target.TargetCommand;
 
 /** Entry point of the stand-ins and tools. */
@@ -19,6 +20,7 @@
             TargetCommand.class,
             LoadCommand.class,
             ExperimentCommand.class,
+            SoakCommand.class,
             Help.class
         })
 public final class StandinMain {
--- /dev/null
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/JobMix.java
@@ -0,0 +1,80 @@
+package org.quetzalscale.standin.soak;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Random;
+
+/** Draws jobs of one to three steps from a seed. */
+final class JobMix {
+    private static final int MAX_STEPS = 3;
+    private static final int MAX_TASKS = 5;
+    private static final int CPU_UNIT = 500;
+    private static final int MAX_CPU_UNITS = 6;
+    private static final int MEMORY_MB = 512;
+    private static final int LASTING_TASKS = 2;
+    private static final double SHORT_SHARE = 0.55;
+    private static final double MEDIUM_SHARE = 0.35;
+    private static final int SHORT_MILLIS = 900;
+    private static final int MEDIUM_MILLIS = 2_500;
+    private static final int LONG_MILLIS = 6_000;
+    private static final int LEAST_MILLIS = 150;
+
+    private final Random random;
+
+    JobMix(long seed) {
+        this.random = new Random(seed);
+    }
+
+    /** Draws a job whose tasks end by themselves. */
+    Job drawFinite() {
+        long millis = drawMillis();
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("spec", WorkPlan.text(millis, false));
+        ArrayNode steps = root.putArray("steps");
+        int count = 1 + random.nextInt(MAX_STEPS);
+        for (int i = 0; i < count; i++) {
+            ObjectNode step = addStep(steps, 1 + random.nextInt(MAX_TASKS), millis);
+            if (i > 0) {
+                step.putArray("after").add(i - 1);
+            }
+        }
+        return job(root, false);
+    }
+
+    /** Draws a job whose tasks run until it is cancelled. */
+    Job drawLasting() {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("spec", WorkPlan.text(0, true));
+        addStep(root.putArray("steps"), LASTING_TASKS, 0).put("longRunning", true);
+        return job(root, true);
+    }
+
+    private ObjectNode addStep(ArrayNode steps, int tasks, long millis) {
+        return steps.addObject()
+                .put("count", tasks)
+                .put("cpu", CPU_UNIT * (1 + random.nextInt(MAX_CPU_UNITS)))
+                .put("memMb", MEMORY_MB)
+                .put("estimateMs", millis);
+    }
+
+    private Job job(ObjectNode root, boolean lasting) {
+        return new Job(
+                String.format("%016x", random.nextLong()),
+                DeploymentConfig.SERVICES.get(random.nextInt(DeploymentConfig.SERVICES.size())),
+                DeploymentConfig.TENANTS.get(random.nextInt(DeploymentConfig.TENANTS.size())),
+                lasting,
+                root.toString());
+    }
+
+    private long drawMillis() {
+        double kind = random.nextDouble();
+        int longest = LONG_MILLIS;
+        if (kind < SHORT_SHARE) {
+            longest = SHORT_MILLIS;
+        } else if (kind < SHORT_SHARE + MEDIUM_SHARE) {
+            longest = MEDIUM_MILLIS;
+        }
+        return LEAST_MILLIS + random.nextInt(longest);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Plays nodes as processes under seeded troubles, and checks what their workers saw. */
+package org.quetzalscale.standin.soak;
