--- /dev/null
+++ b/acceptance/src/test/java/org/quetzalscale/acceptance/soak/ShortSoakTest.java
@@ -0,0 +1,34 @@
+package org.quetzalscale.acceptance.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.quetzalscale.standin.soak.Soak;
+import org.quetzalscale.standin.soak.SoakOptions;
+import org.quetzalscale.standin.soak.SoakResult;
+
+class ShortSoakTest {
+    private static final int SECONDS = 40;
+    private static final int NODES = 4;
+    private static final int WORKERS = 10;
+    private static final int LEAST_RUNS = 200;
+
+    private static SoakResult play(long seed) {
+        Path checkout = Path.of("").toAbsolutePath().getParent();
+        Path folder = Path.of("target", "soak", "seed-" + seed);
+        return new Soak(new SoakOptions(seed, SECONDS, NODES, WORKERS, checkout, folder)).play();
+    }
+
+    @Nested
+    class RealProcesses {
+        /** Guards against tasks that run twice or get lost while nodes and workers fail. */
+        @Test
+        void keepTheRulesUnderTroubles() {
+            SoakResult result = play(1);
+            assertThat(result.held()).as(String.join("\n", result.lines())).isTrue();
+            assertThat(result.figures().get("runs done")).isGreaterThan(LEAST_RUNS);
+        }
+    }
+}
--- a/standin/src/main/java/org/quetzalscale/standin/soak/RunRecord.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/RunRecord.java
@@ -61,8 +61,8 @@
         return entry;
     }
 
-    synchronized void ended(Entry entry, String how) {
-        entry.end = timeline.seconds();
+    synchronized void ended(Entry entry, String how, double seconds) {
+        entry.end = seconds;
         entry.how = how;
         Run run = entry.started;
         timeline.add("%s: end %s run %d %s", run.worker(), run.task(), run.number(), how);
