--- a/standin/src/main/java/org/quetzalscale/standin/soak/Machine.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Machine.java
@@ -86,9 +86,22 @@
         state = newState;
     }
 
+    /** Lists the machine as down, unless a worker runs on it or joins soon. */
+    synchronized void listDownIfEnded() {
+        if (isFree()) {
+            state = State.DOWN;
+        }
+    }
+
+    /** Whether no worker runs on the machine, and none joins soon. */
+    synchronized boolean isFree() {
+        return life == null && state != State.MOVING;
+    }
+
     /** Begins a life of a worker; a former life has to be ended before. */
     synchronized void begin(WorkerLife newLife) {
         life = newLife;
+        state = State.UP;
         listedId = newLife.id();
         seqNo = 0;
     }
--- a/standin/src/main/java/org/quetzalscale/standin/soak/TroublePlayer.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/TroublePlayer.java
@@ -14,6 +14,9 @@
     /** Longest delay of a call at a slow store. */
     private static final int SLOW_MILLIS = 600;
 
+    /** Longest time for which the list shows a machine as up after its end, if it does not stay. */
+    private static final int LISTED_MILLIS = 12_000;
+
     /** Time in which a node has exited and started after a signal. */
     private static final double RESTART_SECONDS = 7;
 
@@ -205,6 +208,9 @@
     }
 
     private void begin(Trouble trouble, Machine machine, WorkerLife former) {
+        if (!machine.isFree()) {
+            return;
+        }
         if (trouble.kind() == Trouble.Kind.WORKER_RESTARTED) {
             workers.restart(machine, former.id());
         } else {
@@ -238,13 +244,17 @@
         }
     }
 
+    /** The list shows the machine as down at once, after some seconds or never. */
     private void endWorker(Trouble trouble) {
         Machine machine = machineOf(trouble);
+        boolean listedForGood = !trouble.choice() && trouble.share() == 1;
+        int listedMillis = trouble.choice() ? 0 : (int) (trouble.share() * LISTED_MILLIS);
         timeline.add(
-                "machine %s: ends, listed %s", machine.name(), trouble.choice() ? "down" : "up");
+                "machine %s: ends, listed as up %s",
+                machine.name(), listedForGood ? "for good" : "for " + listedMillis + " ms");
         workers.crash(machine);
-        if (trouble.choice()) {
-            machine.setState(Machine.State.DOWN);
+        if (!listedForGood) {
+            scheduler.after(listedMillis, machine::listDownIfEnded);
         }
     }
 
