Aim changes of the owner at workers in trouble

Half of the troubles of a worker now bring a change of the owner with them, after the entry of a worker that is cut from the store is gone. More jobs last, because their tasks show every overlap.

--- a/standin/src/main/java/org/quetzalscale/standin/soak/Client.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Client.java
@@ -23,14 +23,14 @@
     private static final int TIMEOUT_MILLIS = 3_000;
     private static final int RETRY_MILLIS = 250;
     private static final int MAX_TRIES = 8;
-    private static final int LASTING_JOBS = 3;
+    private static final int LASTING_JOBS = 6;
     private static final int POLL_MILLIS = 120;
     private static final double CANCELLED_SHARE = 0.12;
     private static final int LEAST_CANCEL_MILLIS = 200;
     private static final int CANCEL_RANGE_MILLIS = 4_000;
     private static final int REPEATED_ONE_IN = 30;
     private static final int REPEAT_MILLIS = 2_500;
-    private static final int LASTING_CHANGE_MILLIS = 12_000;
+    private static final int LASTING_CHANGE_MILLIS = 8_000;
 
     private final Nodes nodes;
     private final Map<String, JsonHttpClient> connections = new HashMap<>();
@@ -96,7 +96,7 @@
     }
 
     /** Some jobs are cancelled; of some, the submission arrives once more after its answer. */
-    private void onSubmissionEnded(Job job) {
+    private void afterAcceptance(Job job) {
         if (random.nextDouble() < CANCELLED_SHARE) {
             int delay = LEAST_CANCEL_MILLIS + random.nextInt(CANCEL_RANGE_MILLIS);
             scheduler.after(delay, () -> cancel(job, anyNode()));
@@ -137,7 +137,7 @@
         if (reply != null && reply.status() / 100 == 2) {
             job.onAccepted(timeline.seconds());
             if (!job.isLasting()) {
-                onSubmissionEnded(job);
+                afterAcceptance(job);
             }
             return;
         }
--- a/standin/src/main/java/org/quetzalscale/standin/soak/JobMix.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/JobMix.java
@@ -12,12 +12,12 @@
     private static final int CPU_UNIT = 500;
     private static final int MAX_CPU_UNITS = 6;
     private static final int MEMORY_MB = 512;
-    private static final int LASTING_TASKS = 2;
-    private static final double SHORT_SHARE = 0.55;
+    private static final int LASTING_TASKS = 3;
+    private static final double SHORT_SHARE = 0.45;
     private static final double MEDIUM_SHARE = 0.35;
     private static final int SHORT_MILLIS = 900;
     private static final int MEDIUM_MILLIS = 2_500;
-    private static final int LONG_MILLIS = 6_000;
+    private static final int LONG_MILLIS = 7_000;
     private static final int LEAST_MILLIS = 150;
 
     private final Random random;
--- a/standin/src/main/java/org/quetzalscale/standin/soak/TroublePlan.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/TroublePlan.java
@@ -1,6 +1,7 @@
 package org.quetzalscale.standin.soak;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,14 @@
     private static final Range SERIES_TROUBLES = new Range(3, 7);
     private static final Range GAP_MILLIS = new Range(50, 1_800);
     private static final Range CALM_MILLIS = new Range(1_000, 5_000);
+
+    /** Beyond the lease of an owner. */
+    private static final Range LONG_PAUSE_MILLIS = new Range(2_000, 9_000);
+
     private static final Map<Kind, Range> DURATIONS = durations();
+    private static final Map<Kind, Range> TAKEOVER_DELAYS = takeoverDelays();
+    private static final List<Kind> OWNER_KINDS =
+            List.of(Kind.NODE_TERMINATED, Kind.NODE_KILLED, Kind.NODE_PAUSED);
     private static final List<Kind> KINDS = weightedKinds();
     private static final List<FaultMode> CUTS =
             List.of(FaultMode.SILENT, FaultMode.SILENT, FaultMode.REFUSED, FaultMode.RESET);
@@ -58,16 +66,35 @@
             int count = SERIES_TROUBLES.draw(random);
             for (int i = 0; i < count && at < millis; i++) {
                 Trouble trouble = drawOne(at);
-                if (trouble.endMillis() <= millis) {
-                    troubles.add(trouble);
+                troubles.add(trouble);
+                if (TAKEOVER_DELAYS.containsKey(trouble.kind()) && random.nextBoolean()) {
+                    troubles.add(drawTakeover(trouble));
                 }
                 at += GAP_MILLIS.draw(random);
             }
             at += CALM_MILLIS.draw(random);
         }
+        troubles.removeIf(trouble -> trouble.endMillis() > millis);
+        troubles.sort(Comparator.comparing(Trouble::atMillis));
         return troubles;
     }
 
+    /** Draws a trouble of the owner that follows a worker's, so that it ends its term. */
+    private Trouble drawTakeover(Trouble cause) {
+        Kind kind = OWNER_KINDS.get(random.nextInt(OWNER_KINDS.size()));
+        Range duration = kind == Kind.NODE_PAUSED ? LONG_PAUSE_MILLIS : DURATIONS.get(kind);
+        return new Trouble(
+                kind,
+                cause.atMillis() + TAKEOVER_DELAYS.get(cause.kind()).draw(random),
+                duration.draw(random),
+                true,
+                random.nextInt(nodes),
+                cause.machine(),
+                drawMode(kind),
+                1,
+                random.nextBoolean());
+    }
+
     private Trouble drawOne(int atMillis) {
         Kind kind = drawKind();
         return new Trouble(
@@ -120,6 +147,21 @@
         return kinds;
     }
 
+    /**
+     * How long after some troubles of workers the owner changes. A worker that is cut from the
+     * store loses its entry after three heartbeats.
+     */
+    private static Map<Kind, Range> takeoverDelays() {
+        Map<Kind, Range> delays = new EnumMap<>(Kind.class);
+        delays.put(Kind.WORKER_CUT_FROM_STORE, new Range(4_000, 6_500));
+        delays.put(Kind.WORKER_CUT_FROM_NODES, new Range(100, 2_000));
+        delays.put(Kind.WORKER_ANSWERS_LOST, new Range(100, 2_000));
+        delays.put(Kind.WORKER_LATE, new Range(100, 2_000));
+        delays.put(Kind.WORKER_HANGS, new Range(100, 4_000));
+        delays.put(Kind.WORKER_DEAD, new Range(0, 3_000));
+        return delays;
+    }
+
     private static Map<Kind, Range> durations() {
         Map<Kind, Range> durations = new EnumMap<>(Kind.class);
         durations.put(Kind.NODE_TERMINATED, new Range(200, 2_000));
