Simulate quick restarts, late lists and slowly read entries

The first checks only that no task runs twice, because workers that crash again and again fail jobs; the others check all rules.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -28,7 +28,7 @@
  * on the workers must keep the rules of {@link RunHistory}, and all jobs must end once the faults
  * are over.
  */
-final class FleetSimulation {
+final class FleetSimulation implements SimulatedNetworkFaults.Fleet {
     private static final int INSTANCES = 3;
     private static final int WORKERS = 3;
     private static final int WORKERS_IN_ZONES = 6;
@@ -37,15 +37,10 @@
     private static final int CAPACITY = 8;
     private static final int JOBS = 12;
     private static final int JOBS_WITH_LOST_RENEWALS = 70;
-    private static final int SLOW_CALLS_MILLIS = 150;
-    private static final long LOST_RENEWALS_INTERVAL_MILLIS = 3_500;
     private static final int FAULT_COUNT = 8;
     private static final long UNLISTED_INTERVAL_MILLIS = 4_000;
     private static final int MIN_UNLISTED_MILLIS = 1_000;
     private static final int UNLISTED_SPREAD_MILLIS = 7_000;
-    private static final long PARTITION_INTERVAL_MILLIS = 12_000;
-    private static final int MIN_PARTITION_MILLIS = 4_000;
-    private static final int PARTITION_SPREAD_MILLIS = 10_000;
     private static final int MAX_ATTEMPTS = 4;
     private static final int LASTING_JOB = JOBS + 1;
     private static final int SLOW_LOAD_MILLIS = 4_900;
@@ -120,6 +115,10 @@
             owner.start();
         }
 
+        boolean ownsFleet() {
+            return process.isAlive() && owner.isOwner();
+        }
+
         /**
          * Kills the process, and starts the next one later. Does nothing without a live process,
          * since an instance never runs two processes at once.
@@ -171,10 +170,6 @@
 
     private void scheduleFaults() {
         switch (injected) {
-            case LOST_RENEWALS -> {
-                callFaults.latencySpreadMillis = SLOW_CALLS_MILLIS;
-                loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
-            }
             case SLOW_CONNECTIONS -> {
                 callFaults.connectMillis = SLOW_CONNECT_MILLIS;
                 loop.after(FAULT_PERIOD_MILLIS / 2, () -> nodes.forEach(node -> node.kill(1_000)));
@@ -192,8 +187,8 @@
                             });
             case UNLISTED_WORKERS ->
                     loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
-            case PARTITIONED_OWNER ->
-                    loop.after(MIN_PARTITION_MILLIS + random.nextInt(1_000), this::partitionOwner);
+            case LOST_RENEWALS, PARTITIONED_OWNER, SLOW_ENTRIES, QUICK_RESTARTS, LATE_LISTS ->
+                    networkFaults().begin(injected);
             default -> {
                 store.jobReadMillis =
                         injected == SimulationFaults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
@@ -204,6 +199,13 @@
         }
     }
 
+    private SimulatedNetworkFaults networkFaults() {
+        return new SimulatedNetworkFaults(
+                new SimulatedNetworkFaults.Parts(
+                        loop, random, store, network, instances, callFaults, faults),
+                this);
+    }
+
     /** How often an instance took the fleet's lease. */
     long acquisitions() {
         return store.writesOf(FleetRows.OWNER);
@@ -237,15 +239,20 @@
         SimulatedWorker worker = presentWorker();
         long unlistedMillis = MIN_UNLISTED_MILLIS + random.nextInt(UNLISTED_SPREAD_MILLIS);
         faults.add(loop.nowMillis() + ": no entry of " + worker.id + " for " + unlistedMillis);
+        removeEntry(worker, unlistedMillis);
+        loop.after(random.nextInt(UNLISTED_SPREAD_MILLIS / 2), this::killOrFreezeOwner);
+    }
+
+    @Override
+    public void removeEntry(SimulatedWorker worker, long millis) {
         applyFor(
-                unlistedMillis,
+                millis,
                 () -> store.delete("servers//" + worker.id),
                 () -> {
                     if (instances.workers().contains(worker)) {
                         register(worker);
                     }
                 });
-        loop.after(random.nextInt(UNLISTED_SPREAD_MILLIS / 2), this::killOrFreezeOwner);
     }
 
     private void killOrFreezeOwner() {
@@ -258,51 +265,21 @@
         forOwner(node -> node.process.freeze(millis));
     }
 
-    /** Cuts the owner and one worker off from everything else for some seconds. */
-    private void partitionOwner() {
-        if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
-            return;
-        }
-        loop.after(PARTITION_INTERVAL_MILLIS, this::partitionOwner);
-        String worker = presentWorker().id;
-        long millis = MIN_PARTITION_MILLIS + random.nextInt(PARTITION_SPREAD_MILLIS);
-        faults.add(loop.nowMillis() + ": the owner reaches only " + worker + " for " + millis);
-        forOwner(
-                owner ->
-                        applyFor(
-                                millis,
-                                () -> network.divide(owner.process, worker, instances.workers()),
-                                network::unite));
+    private void forOwner(Consumer<Node> action) {
+        nodes.stream().filter(Node::ownsFleet).forEach(action);
     }
 
-    private void forOwner(Consumer<Node> action) {
-        nodes.stream()
-                .filter(node -> node.process.isAlive() && node.owner.isOwner())
-                .forEach(action);
+    @Override
+    public List<SimulatedProcess> owners() {
+        return nodes.stream().filter(Node::ownsFleet).map(node -> node.process).toList();
     }
 
-    private SimulatedWorker presentWorker() {
+    @Override
+    public SimulatedWorker presentWorker() {
         List<SimulatedWorker> present = instances.workers();
         return present.get(random.nextInt(present.size()));
     }
 
-    private void loseRenewals() {
-        if (loop.nowMillis() > FAULT_PERIOD_MILLIS) {
-            return;
-        }
-        loop.after(LOST_RENEWALS_INTERVAL_MILLIS, this::loseRenewals);
-        for (Node node : nodes) {
-            if (node.owner.isOwner()) {
-                faults.add(loop.nowMillis() + ": transactions of " + node.name + " unanswered");
-                SimulatedProcess process = node.process;
-                applyFor(
-                        3_000,
-                        () -> process.store = SimulatedProcess.StoreAccess.COMMITS_NOT_ANSWERED,
-                        () -> process.store = SimulatedProcess.StoreAccess.SERVED);
-            }
-        }
-    }
-
     private void addLastingJob() {
         JobDefinition service = SimulatedJobs.lasting(LASTING_JOB);
         jobs.put(service.id(), service);
@@ -363,7 +340,7 @@
                             millis,
                             () -> callFaults.delayProbability = 0.3,
                             () -> callFaults.delayProbability = 0);
-            default -> crashWorker(millis);
+            default -> crashWorker(presentWorker(), millis);
         }
     }
 
@@ -389,9 +366,8 @@
                 });
     }
 
-    /** Crashes a worker, which restarts under its id. */
-    private void crashWorker(long downMillis) {
-        SimulatedWorker worker = presentWorker();
+    @Override
+    public void crashWorker(SimulatedWorker worker, long downMillis) {
         if (!worker.up) {
             return;
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -45,6 +45,9 @@
             run(SimulationVariant.PLAIN, SimulationFaults.CRASHING_TASK, seed);
             run(variant, SimulationFaults.UNLISTED_WORKERS, seed);
             run(variant, SimulationFaults.PARTITIONED_OWNER, seed);
+            run(variant, SimulationFaults.SLOW_ENTRIES, seed);
+            runTasksOnce(variant, SimulationFaults.QUICK_RESTARTS, seed);
+            run(variant, SimulationFaults.LATE_LISTS, seed);
         }
     }
 
@@ -173,6 +176,54 @@
         run(variant, SimulationFaults.PARTITIONED_OWNER, seed);
     }
 
+    /**
+     * Guards against a second run of a task on a worker without an entry (TWICE): the wait for it
+     * began with the term, but the former owner learned of the takeover when the new one called the
+     * workers, which was seconds later.
+     */
+    @Property(tries = 60, seed = "9120447361", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceWhileANewOwnerReadsTheEntriesSlowly(
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.SLOW_ENTRIES, seed);
+    }
+
+    /**
+     * Guards against finished tasks that run again (TWICE): a worker restarts under its id while
+     * its owner waits for an answer, so that the next renewal acknowledges ends of the new
+     * incarnation that no owner has seen.
+     */
+    @Property(tries = 100, seed = "7205513349", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceOnWorkersThatRestartQuickly(
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        runTasksOnce(variant, SimulationFaults.QUICK_RESTARTS, seed);
+    }
+
+    /**
+     * Guards against tasks that run twice (TWICE): a list of instances from before a worker's
+     * restart is answered when the new incarnation runs tasks and is silent for a moment.
+     */
+    @Property(tries = 100, seed = "7205513351", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceWhileListsOfInstancesAreLate(
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.LATE_LISTS, seed);
+    }
+
+    /**
+     * Checks only that no task runs twice: workers that crash again and again fail jobs, which is
+     * no fault.
+     */
+    private static void runTasksOnce(
+            SimulationVariant variant, SimulationFaults injected, long seed) {
+        FleetSimulation simulation = new FleetSimulation(variant, injected, seed);
+        assertThat(simulation.run())
+                .filteredOn(
+                        found ->
+                                found.contains(" runs on ")
+                                        || found.contains("starts after it was done"))
+                .as(() -> variant + ", seed " + seed + ", faults " + simulation.faults())
+                .isEmpty();
+    }
+
     private static void run(SimulationVariant variant, long seed) {
         run(variant, SimulationFaults.DRAWN, seed);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedCalls.java
@@ -32,6 +32,12 @@
         /** Every call and every answer takes 1 ms and up to this long more. */
         int latencySpreadMillis = 4;
 
+        /**
+         * Whether nothing resets the connections to a worker that ends, so that calls to it get no
+         * answer.
+         */
+        boolean withoutResets;
+
         /** Processor time of the first call of a process to a worker. */
         int connectMillis;
     }
@@ -92,16 +98,21 @@
         loop.after(
                 latency(),
                 () -> {
-                    if (cut || !target.up) {
+                    if (target.up && target.unhealthy) {
+                        process.fail(latency(), reply, failure(ErrorKind.TARGET_UNREACHABLE));
+                    } else if (cut || !target.up) {
                         process.fail(
-                                cut ? waitMillis + RENEW_MARGIN_MILLIS : latency(),
+                                cut || faults.withoutResets
+                                        ? waitMillis + RENEW_MARGIN_MILLIS
+                                        : latency(),
                                 reply,
                                 failure(ErrorKind.TARGET_UNREACHABLE));
                     } else if (!target.renew(leaseClockMillis, number, fence)) {
                         process.fail(latency(), reply, failure(ErrorKind.LEASE_LOST));
                     } else {
                         long seen = target.lastNumber();
-                        await(target, seen, loop.nowMillis() + waitMillis, reply);
+                        long untilMillis = loop.nowMillis() + waitMillis;
+                        await(target, target.incarnation(), seen, untilMillis, reply);
                     }
                 });
         return reply;
@@ -109,13 +120,18 @@
 
     private void await(
             SimulatedWorker worker,
+            int incarnation,
             long seen,
             long untilMillis,
             CompletableFuture<WorkerReport> reply) {
-        if (!worker.up) {
-            process.fail(latency(), reply, failure(ErrorKind.TARGET_UNREACHABLE));
+        if (worker.incarnation() != incarnation) {
+            long timeoutMillis = untilMillis - loop.nowMillis() + RENEW_MARGIN_MILLIS;
+            process.fail(
+                    faults.withoutResets ? timeoutMillis : latency(),
+                    reply,
+                    failure(ErrorKind.TARGET_UNREACHABLE));
         } else if (worker.lastNumber() == seen && loop.nowMillis() < untilMillis) {
-            loop.after(POLL_MILLIS, () -> await(worker, seen, untilMillis, reply));
+            loop.after(POLL_MILLIS, () -> await(worker, incarnation, seen, untilMillis, reply));
         } else {
             process.deliver(latency(), reply, worker.report());
         }
@@ -141,14 +157,25 @@
             process.deliver(ORDER_TIMEOUT_MILLIS, reply, OrderAnswer.UNKNOWN);
             return reply;
         }
-        loop.after(
-                latency(),
-                () ->
-                        process.deliver(
-                                latency(), reply, worker.up ? order.get() : OrderAnswer.NOT_SENT));
+        loop.after(latency(), () -> carryOut(worker, order, reply));
         return reply;
     }
 
+    private void carryOut(
+            SimulatedWorker worker,
+            Supplier<OrderAnswer> order,
+            CompletableFuture<OrderAnswer> reply) {
+        if (worker.up && worker.unhealthy) {
+            process.deliver(latency(), reply, OrderAnswer.UNHEALTHY);
+        } else if (worker.up) {
+            process.deliver(latency(), reply, order.get());
+        } else if (faults.withoutResets) {
+            process.deliver(ORDER_TIMEOUT_MILLIS, reply, OrderAnswer.UNKNOWN);
+        } else {
+            process.deliver(latency(), reply, OrderAnswer.NOT_SENT);
+        }
+    }
+
     private int latency() {
         return 1 + random.nextInt(faults.latencySpreadMillis);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedInstances.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedInstances.java
@@ -26,6 +26,9 @@
     private static final int LIST_MILLIS = 5;
     private static final int ORDER_MILLIS = 3;
 
+    /** How much longer it takes to answer a list of the instances. */
+    int listDelayMillis;
+
     private final VirtualLoop loop;
     private final RunHistory history;
     private final PoolId pool;
@@ -125,7 +128,7 @@
         @Override
         public CompletionStage<List<FleetInstance>> list() {
             CompletableFuture<List<FleetInstance>> reply = new CompletableFuture<>();
-            process.deliver(LIST_MILLIS, reply, SimulatedInstances.this.list());
+            process.deliver(LIST_MILLIS + listDelayMillis, reply, SimulatedInstances.this.list());
             return reply;
         }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedStore.java
@@ -24,6 +24,7 @@
 final class SimulatedStore {
     private static final int TIMEOUT_MILLIS = 700;
     private static final int FEED_POLL_MILLIS = 20;
+    private static final String ENTRIES_PREFIX = "servers//";
 
     private final VirtualLoop loop;
     private final Random random;
@@ -36,6 +37,9 @@
     /** How much longer it takes to read all jobs, as on a weak instance with many jobs. */
     int jobReadMillis;
 
+    /** How much longer it takes to read the entries of all workers. */
+    int entryReadMillis;
+
     /** Part of the transactions whose answers are lost; half of these are carried out late. */
     double lostAnswerProbability;
 
@@ -106,8 +110,15 @@
 
         @Override
         public CompletionStage<RowSnapshot> snapshot(String prefix) {
-            int extraMillis = prefix.equals(FleetRows.SHARD_JOBS_PREFIX) ? jobReadMillis : 0;
-            return call(extraMillis, () -> new RowSnapshot(rows(prefix), table.version()));
+            return call(extraMillis(prefix), () -> new RowSnapshot(rows(prefix), table.version()));
+        }
+
+        private int extraMillis(String prefix) {
+            return switch (prefix) {
+                case FleetRows.SHARD_JOBS_PREFIX -> jobReadMillis;
+                case ENTRIES_PREFIX -> entryReadMillis;
+                default -> 0;
+            };
         }
 
         @Override
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
@@ -44,6 +44,9 @@
 
     boolean up = true;
 
+    /** Whether it answers all calls with an error, and carries none out. */
+    boolean unhealthy;
+
     /** Tasks that crash the worker shortly after their start. */
     Predicate<TaskRef> crashes = task -> false;
 
@@ -81,6 +84,11 @@
         return fence > 0 && loop.nowMillis() - firstCallMillis > FIRST_ORDER_MILLIS;
     }
 
+    /** Counts the incarnations that have ended. */
+    int incarnation() {
+        return incarnation;
+    }
+
     long lastNumber() {
         return lastFinishedNumber;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
@@ -35,5 +35,17 @@
      * Again and again the owner and one worker are cut off from the store and from all others, and
      * reach each other.
      */
-    PARTITIONED_OWNER
+    PARTITIONED_OWNER,
+    /**
+     * Again and again a worker has no entry while the owner reaches neither the store nor another
+     * instance, but all workers. The next owner reads the entries of the workers slowly.
+     */
+    SLOW_ENTRIES,
+    /** Again and again a worker ends and soon restarts under its id; nothing resets connections. */
+    QUICK_RESTARTS,
+    /**
+     * Again and again a worker restarts and soon after answers with errors for a moment, and lists
+     * of instances are answered late.
+     */
+    LATE_LISTS
 }
