--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -2,19 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
 import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.id.ZoneId;
 import org.quetzalscale.core.instance.FleetInstance;
-import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.task.FinishedRun;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -35,24 +32,13 @@
  * <p>Times are milliseconds of one monotonic clock. This class is not thread-safe.
  */
 public final class FleetScheduler {
-    /**
-     * How old the state that a list of instances shows may be when the list is requested. A worker
-     * that answered after that state may have come up since.
-     */
-    static final long MAX_LIST_LAG_MILLIS = 3_000;
-
-    /**
-     * A worker without an instance must be unresponsive for this long before it counts as ended: a
-     * starting worker may be registered before the list of instances shows it.
-     */
-    private static final long MIN_UNRESPONSIVE_MILLIS = 250;
-
     private final FleetState fleet = new FleetState();
     private final RunTimeEstimator estimator = new RunTimeEstimator();
     private final ExcessMarks excess = new ExcessMarks();
     private final JobLifecycle jobs;
     private final WorkerReportHandler reportHandler;
     private final CrashAttribution crashAttribution;
+    private final EndedWorkers endedWorkers = new EndedWorkers(fleet);
     private final OrderAnswers orderAnswers;
     private final WorkerIncarnations incarnations;
     private final StallDetector stallDetector;
@@ -337,36 +323,16 @@
      */
     public List<WorkerId> updateInstances(
             List<FleetInstance> instances, long requestedMillis, long nowMillis) {
-        Set<WorkerId> running = new HashSet<>();
-        // Ended by an order, which may be a former owner's, so that the worker is not cordoned.
-        Set<InstanceId> ordered = new HashSet<>();
-        for (FleetInstance instance : instances) {
-            if (instance.state() == InstanceState.MOVING
-                    || instance.state() == InstanceState.MAINTENANCE) {
-                ordered.add(instance.id());
-            }
-            if (instance.up()) {
-                instance.worker().ifPresent(running::add);
-            }
-            WorkerState worker = instance.worker().map(fleet.workers::get).orElse(null);
-            if (worker != null) {
-                worker.instance = instance.id();
-            }
-        }
-        List<WorkerId> endedWorkers = new ArrayList<>();
-        for (WorkerState worker : List.copyOf(fleet.workers.values())) {
-            WorkerId id = worker.entry.id();
-            if (worker.isUnresponsiveFor(MIN_UNRESPONSIVE_MILLIS, nowMillis)
-                    && requestedMillis - worker.heardMillis > MAX_LIST_LAG_MILLIS
-                    && !running.contains(id)) {
-                endedWorkers.add(id);
-                if (!ordered.contains(worker.instance)) {
-                    crashAttribution.recordCrash(worker, nowMillis);
-                }
-                removeWorker(id, nowMillis);
+        List<WorkerId> ids = new ArrayList<>();
+        for (EndedWorkers.Ended ended : endedWorkers.find(instances, requestedMillis, nowMillis)) {
+            if (!ended.ordered()) {
+                crashAttribution.recordCrash(ended.worker(), nowMillis);
             }
+            WorkerId id = ended.worker().entry.id();
+            removeWorker(id, nowMillis);
+            ids.add(id);
         }
-        return endedWorkers;
+        return ids;
     }
 
     /**
--- a/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/CrashAttributionTest.java
@@ -23,7 +23,7 @@
 
 final class CrashAttributionTest extends SchedulerFixture {
     /** Time after which a list that does not show a worker tells that it has ended. */
-    private static final long LIST_MILLIS = FleetScheduler.MAX_LIST_LAG_MILLIS + 1;
+    private static final long LIST_MILLIS = EndedWorkers.MAX_LIST_LAG_MILLIS + 1;
 
     private static final int WORKERS = 8;
     private static final int STARTS_BEFORE_GIVING_UP = 3;
--- a/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
@@ -238,7 +238,7 @@
             scheduler.setUnresponsive(Samples.workerId(1), true, now);
             assertThat(scheduler.allWorkersReported()).isFalse();
 
-            now += FleetScheduler.MAX_LIST_LAG_MILLIS + 1;
+            now += EndedWorkers.MAX_LIST_LAG_MILLIS + 1;
             assertThat(scheduler.updateInstances(List.of(), now, now))
                     .containsExactly(Samples.workerId(1));
 
@@ -286,7 +286,7 @@
             plan();
             assertThat(orders.starts).as("the run goes on, on a worker that is up").hasSize(1);
 
-            now += FleetScheduler.MAX_LIST_LAG_MILLIS;
+            now += EndedWorkers.MAX_LIST_LAG_MILLIS;
             assertThat(scheduler.updateInstances(List.of(), now, now)).hasSize(1);
         }
 
@@ -300,7 +300,7 @@
             confirm(start);
             scheduler.setUnresponsive(start.worker(), true, now);
 
-            now += FleetScheduler.MAX_LIST_LAG_MILLIS;
+            now += EndedWorkers.MAX_LIST_LAG_MILLIS;
             assertThat(scheduler.updateInstances(List.of(), now, now)).isEmpty();
             now++;
             assertThat(scheduler.updateInstances(List.of(), now, now)).hasSize(1);
