--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
@@ -15,7 +15,7 @@
     private final Supplier<CompletionStage<Void>> confirmation;
     private final Runnable onOpen;
     private final PauseDetector detector;
-    private long confirmedPauses;
+    private long noticedPauses;
     private boolean confirming;
     private boolean stopped;
 
@@ -23,7 +23,7 @@
      * Creates a gate that is open.
      *
      * @param retryMillis time between a failed confirmation and the next one
-     * @param onClose called when the gate closes, before the first confirmation
+     * @param onClose called after each pause, before its confirmation
      * @param confirmation called after a pause, and again if its stage fails
      * @param onOpen called when the gate opens again
      */
@@ -57,20 +57,30 @@
         return !confirming;
     }
 
-    /** Closes the gate if there was a pause. */
+    /** Closes the gate if there was a pause since the last check. */
     void checkPause() {
-        if (detector.pauses() != confirmedPauses && !confirming) {
+        if (noticePause() && !confirming) {
             confirming = true;
-            onClose.run();
             confirm();
         }
     }
 
+    /** Returns whether there was a pause since the last check. */
+    private boolean noticePause() {
+        long pauses = detector.pauses();
+        if (pauses == noticedPauses) {
+            return false;
+        }
+        noticedPauses = pauses;
+        onClose.run();
+        return true;
+    }
+
     private void confirm() {
         if (stopped) {
             return;
         }
-        long pausesBefore = detector.pauses();
+        noticePause();
         confirmation
                 .get()
                 .whenComplete(
@@ -82,12 +92,11 @@
                                 clock.after(retryMillis, this::confirm);
                                 return;
                             }
-                            if (detector.pauses() != pausesBefore) {
+                            if (noticePause()) {
                                 confirm();
                                 return;
                             }
                             confirming = false;
-                            confirmedPauses = pausesBefore;
                             onOpen.run();
                         });
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
@@ -225,6 +225,22 @@
         assertThat(gate.permitsLeaseExtension()).isFalse();
     }
 
+    /** Guards against a second suspension that passes unnoticed before the first is confirmed. */
+    @Test
+    void permitsNoLeaseExtensionAfterASecondSuspension() {
+        loop.runUntil(5_000);
+        store.unavailable = true;
+        siblingsReportAnOutage();
+        loop.runUntil(5_100);
+        wallClockStepMillis = 4_000;
+        assertThat(gate.permitsLeaseExtension()).as("after the first").isFalse();
+        loop.runUntil(6_000);
+        assertThat(gate.permitsLeaseExtension()).as("confirmed by siblings").isTrue();
+
+        wallClockStepMillis = 8_000;
+        assertThat(gate.permitsLeaseExtension()).as("after the second").isFalse();
+    }
+
     /** Guards against starts in a zone that operators evacuate since a moment of the pause. */
     @Test
     void staysClosedUntilItIsReadWhatOperatorsWrote() {
