Extend no lease of a silent worker without an entry

A worker was gone for good while the list of instances went on to show it as up. Each unanswered renewal extended the lease that the owner assumes, so its tasks were never started again.

The runs still end by their lease, so TWICE does not rest on it. WorkerSessionTest.extendsNoLeaseOfASilentWorkerWithoutAnEntry checks it.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -270,9 +270,12 @@
         renewing = true;
         long sentMillis = clock.nowMillis();
         // Runs on a worker that is silent before its first applied report, or whose report cannot
-        // be applied, are not prolonged, because all recovered jobs may wait for their end.
+        // be applied, are not prolonged, because all recovered jobs may wait for their end. Nor are
+        // those on a silent worker without an entry, which is probably gone.
         boolean extending =
-                lease.isClockKnown() && !reportIgnored && (reportApplied || !unresponsive);
+                lease.isClockKnown()
+                        && !reportIgnored
+                        && (!unresponsive || reportApplied && registered);
         long leaseUntilClockMillis = extending ? lease.extend(sentMillis) : 0;
         // Does not wait for new finished runs while some are unacknowledged, because the worker
         // would list those again at once, nor after a silence, because the worker may have
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -79,6 +79,7 @@
         final List<Long> renewalFences = new ArrayList<>();
         final List<CompletableFuture<OrderAnswer>> starts = new ArrayList<>();
         final List<Long> acknowledged = new ArrayList<>();
+
         final List<Long> leases = new ArrayList<>();
 
         @Override
@@ -239,6 +240,22 @@
         assertThat(tokens).isSorted().doesNotHaveDuplicates();
     }
 
+    /**
+     * Guards against tasks that are never started again (LOST): their worker is gone for good, and
+     * its instance stays listed as up.
+     */
+    @Test
+    void extendsNoLeaseOfASilentWorkerWithoutAnEntry() throws Exception {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        failRenewal(1);
+        session.deregister();
+        failRenewal(2);
+
+        assertThat(calls.leases.get(2)).as("silent, with an entry").isPositive();
+        assertThat(calls.leases.get(3)).as("silent, without an entry").isZero();
+    }
+
     private void failRenewal(int number) throws Exception {
         calls.renewals
                 .get(number)
