Let a new owner deny the former one, and a slow store confirm its owner

It counts from the renewal's own request now: the row cannot change earlier, and others wait from that change on. - Siblings were asked at an age of 500 ms, which a slow store reaches as well; now at 1 s.

--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -157,7 +157,7 @@
         }
     }
 
-    /** When the call was sent that acquired the lease, or renewed it last. */
+    /** When the lease was requested, or the last successful renewal was sent. */
     public long confirmedMillis() {
         lock.lock();
         try {
@@ -167,7 +167,10 @@
         }
     }
 
-    /** The lease row that was read last; a free lease that was never renewed if none was read. */
+    /**
+     * The lease row that was read or acquired last; a free lease that was never renewed if there is
+     * none.
+     */
     public LeaseRow lastRead() {
         lock.lock();
         try {
@@ -236,7 +239,7 @@
         unanswered.rowRead(read.holder(), row.get().version());
         boolean own = isOwn(row.get());
         if (own && isHeld()) {
-            return renew(row.get(), startedMillis);
+            return renew(row.get());
         }
         if (!own) {
             // If this instance acquires the lease again later and the result is lost, it would
@@ -259,7 +262,7 @@
         return (free ? 0 : options.leaseMillis()) + options.waitMillis().getAsLong();
     }
 
-    private CompletionStage<Void> renew(Row row, long startedMillis) {
+    private CompletionStage<Void> renew(Row row) {
         Optional<Lease> lease = currentOrExpired();
         if (lease.isEmpty()) {
             return CompletableFuture.completedFuture(null);
@@ -269,11 +272,12 @@
                         .require(lease.get().fence())
                         .replace(row, encode(decode(row).renewals() + 1))
                         .build();
+        long sentMillis = time.nowMillis();
         return table.commit(renewal)
                 .thenAccept(
                         result -> {
                             if (result.isCommitted()) {
-                                extendLease(startedMillis);
+                                extendLease(sentMillis);
                             } else {
                                 dropLeaseIfFenced(result);
                             }
@@ -326,6 +330,7 @@
                 return;
             }
             held = acquired;
+            lastRead = new LeaseRow(self.value(), renewals);
             superseded = false;
             heldUntilMillis = startedMillis + options.leaseMillis();
         } finally {
@@ -333,10 +338,10 @@
         }
     }
 
-    private void extendLease(long startedMillis) {
+    private void extendLease(long sentMillis) {
         lock.lock();
         try {
-            heldUntilMillis = startedMillis + options.leaseMillis();
+            heldUntilMillis = sentMillis + options.leaseMillis();
         } finally {
             lock.unlock();
         }
--- a/core/src/main/java/org/quetzalscale/core/lease/TermValidity.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/TermValidity.java
@@ -12,7 +12,7 @@
  * <p>An owner may act for {@link #DURATION_MILLIS} after it sent the last successful renewal, or
  * after it asked its siblings and none of them could have taken the lease: the table may be away
  * for all. An instance takes the lease over only after it has read it, for as long, without a
- * renewal, so the former owner has stopped to act by then.
+ * renewal, so the former owner has stopped acting by then.
  *
  * <p>Times are milliseconds of one monotonic clock. Not thread-safe.
  */
@@ -48,13 +48,15 @@
     }
 
     /**
-     * Records the answers of the siblings.
+     * Records the answers of the siblings. No siblings confirm nothing: one may have registered
+     * since they were read.
      *
      * @param views what each sibling knows; empty if one of them did not answer
      * @param askedMillis when the first of them was asked
      */
     public void siblingsAnswered(Optional<List<LeaseView>> views, long askedMillis) {
         if (views.isPresent()
+                && !views.get().isEmpty()
                 && views.get().stream().allMatch(v -> v.excludesTakeover(self, generation))) {
             confirm(askedMillis);
         }
--- a/core/src/test/java/org/quetzalscale/core/lease/TermValidityTest.java
+++ b/core/src/test/java/org/quetzalscale/core/lease/TermValidityTest.java
@@ -70,6 +70,13 @@
             assertValidUntil(2_500);
         }
 
+        @Test
+        void thatAreNotKnownConfirmNothing() {
+            answer();
+
+            assertValidUntil(2_500);
+        }
+
         @Test
         void thatReachTheTableConfirmNothing() {
             answer(CUT_OFF, new LeaseView(true, SELF.value(), 44));
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/GatedWorkerCalls.java
@@ -11,8 +11,8 @@
 
 /**
  * Calls to workers whose orders are sent while an {@link OrderGate} is open. Renewals always are:
- * they start nothing, and their answers tell of a newer owner. Just after a pause, they extend no
- * lease.
+ * they start nothing, and their answers tell of a newer owner. They extend no lease while the term
+ * is not valid.
  */
 record GatedWorkerCalls(WorkerCalls calls, OrderGate gate) implements WorkerCalls {
     @Override
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerService.java
@@ -21,7 +21,7 @@
  * Competes for the owner's lease, and owns the fleet while it holds the lease.
  *
  * <p>While the store is unavailable to all instances, nobody can take the lease, and the owner
- * continues. An owner that cannot tell that from being cut off stops to act before another one
+ * continues. An owner that cannot tell that from being cut off stops acting before another one
  * takes over ({@link TermValidity}).
  */
 public final class OwnerService {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/SiblingPoll.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/SiblingPoll.java
@@ -13,8 +13,8 @@
 final class SiblingPoll {
     private static final long INTERVAL_MILLIS = 250;
 
-    /** Age of the last confirmation that shows that a renewal has failed. */
-    private static final long MIN_AGE_MILLIS = 500;
+    /** Age of the last confirmation from which the siblings are asked. */
+    private static final long MIN_AGE_MILLIS = 1_000;
 
     private final LoopClock clock;
     private final SiblingViews siblings;
