--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseKeeper.java
@@ -40,8 +40,6 @@
     /** Time between renewals, in milliseconds. */
     public static final long RENEW_MILLIS = 2_000;
 
-    private static final long NOT_OBSERVED = -1;
-
     private final TransactionalTable table;
     private final RowCodec<LeaseRow> codec;
     private final RowKey leaseKey;
@@ -52,9 +50,7 @@
     private final UnansweredAcquisitions unanswered;
     private final ReentrantLock lock = new ReentrantLock();
 
-    private long observedVersion = NOT_OBSERVED;
-    private long observedSinceMillis;
-    private long observedAtMillis;
+    private final RowObservation observation;
     private LeaseRow lastRead = new LeaseRow("", 0);
     private Lease held;
     private long heldUntilMillis;
@@ -126,6 +122,7 @@
         this.self = self;
         this.time = time;
         this.options = options;
+        this.observation = new RowObservation(options.leaseMillis());
         this.unanswered = new UnansweredAcquisitions(self, options.listener());
     }
 
@@ -367,22 +364,10 @@
         }
     }
 
-    /**
-     * Whether the row has been observed unchanged for some time. While the table cannot be read, or
-     * this process is paused, the holder may be unable to renew the lease as well, so that time
-     * does not count.
-     */
     private boolean isUnchangedFor(long millis, Row row) {
-        long now = time.nowMillis();
         lock.lock();
         try {
-            boolean interrupted = now - observedAtMillis > options.leaseMillis();
-            if (row.version() != observedVersion || interrupted) {
-                observedVersion = row.version();
-                observedSinceMillis = now;
-            }
-            observedAtMillis = now;
-            return now - observedSinceMillis >= millis;
+            return observation.unchangedMillis(row.version(), time.nowMillis()) >= millis;
         } finally {
             lock.unlock();
         }
@@ -394,7 +379,7 @@
         }
         lock.lock();
         try {
-            observedVersion = NOT_OBSERVED;
+            observation.interrupt();
         } finally {
             lock.unlock();
         }
