Answer the tests of owners on the owner's event loop

The doubles of the worker and of the table answered renewals and calls for changes on another thread, so that a report was applied while the event loop planned. The clients of a node answer on its only event loop; the services rely on that and have no locks. In the failing order the plan runs between the two steps that apply a report: it finds the end as seen and no job as changed, so it lets the worker forget an end that is not recorded.

Ruled out: an end that a node acknowledges before it is recorded. All clients of a node share an event loop group of one thread (Node), and no stage of theirs is completed elsewhere.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FakeWorker.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FakeWorker.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
@@ -20,17 +21,25 @@
 import org.quetzalscale.core.task.WorkerEntry;
 import org.quetzalscale.core.task.WorkerReport;
 
-/** A worker that follows the highest fence, and runs each started task until the test ends it. */
+/**
+ * A worker that follows the highest fence, and runs each started task until the test ends it. It
+ * reports on the event loop of the owner, as the client of real workers does.
+ */
 final class FakeWorker implements WorkerCalls {
     private static final int ANSWER_MILLIS = 5;
 
     final List<StartOrder> starts = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService loop;
     private final Map<TaskRef, Long> running = new LinkedHashMap<>();
     private final List<FinishedRun> finished = new ArrayList<>();
     private long fence;
     private long lastNumber;
     private long acknowledged;
 
+    FakeWorker(ScheduledExecutorService loop) {
+        this.loop = loop;
+    }
+
     synchronized void end(TaskRef task, RunEnd how) {
         finished.add(new FinishedRun(++lastNumber, task, running.remove(task), how, ""));
     }
@@ -80,8 +89,7 @@
         }
         fence = token;
         acknowledged = Math.max(acknowledged, number);
-        CompletableFuture.delayedExecutor(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
-                .execute(() -> reply.complete(report()));
+        loop.schedule(() -> reply.complete(report()), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
         return reply;
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.table.ChangedRow;
@@ -20,7 +22,10 @@
 
 /** An in-memory table with a change feed, which a test can make unavailable. */
 final class InMemoryFeedTable implements FeedTable {
+    private static final int ANSWER_MILLIS = 5;
+
     private final InMemoryTable table = new InMemoryTable();
+    private final Optional<ScheduledExecutorService> loop;
     private final List<ChangedRow> changes = new ArrayList<>();
     volatile boolean unavailable;
 
@@ -41,6 +46,16 @@
     /** Number of reads that were refused because their history was dropped. */
     volatile int refusedReaders;
 
+    /** Creates a table whose change feed is not read. */
+    InMemoryFeedTable() {
+        this.loop = Optional.empty();
+    }
+
+    /** Creates a table that answers calls for changes on the event loop of their callers. */
+    InMemoryFeedTable(ScheduledExecutorService loop) {
+        this.loop = Optional.of(loop);
+    }
+
     @Override
     public synchronized CompletionStage<Optional<Row>> read(RowKey key) {
         return unavailable ? failUnavailable() : table.read(key);
@@ -118,8 +133,8 @@
             return reply;
         }
         Changes answer = new Changes(found, table.version());
-        CompletableFuture.delayedExecutor(5, java.util.concurrent.TimeUnit.MILLISECONDS)
-                .execute(() -> reply.complete(answer));
+        loop.orElseThrow()
+                .schedule(() -> reply.complete(answer), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
         return reply;
     }
 
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
@@ -67,7 +67,7 @@
                         new InstanceId("node-1"),
                         clock,
                         table,
-                        new FakeWorker(),
+                        new FakeWorker(clock.loop()),
                         null,
                         null,
                         null,
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerFixture.java
@@ -55,12 +55,12 @@
     static final Optional<String> ONE_WAITING = Optional.of("{\"quick\":1}");
     static final long TIMEOUT_MILLIS = 20_000;
 
-    final InMemoryFeedTable table = new InMemoryFeedTable();
-    final FakeWorker worker = new FakeWorker();
-    final Instances instances = new Instances();
     final EventLoopGroup group = EventLoops.create(1, "test");
     final LoopClock clock =
             new LoopClock(group.next(), TimeSource.system(), System::currentTimeMillis);
+    final InMemoryFeedTable table = new InMemoryFeedTable(clock.loop());
+    final FakeWorker worker = new FakeWorker(clock.loop());
+    final Instances instances = new Instances();
     final JobGateway gateway =
             new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
 
