Acknowledge nothing while a report may be of a worker's former incarnation

Callers could see work done twice: a new incarnation of a worker that forgets ends up to the number that the former one had listed loses ends that nobody has seen, and their tasks run again.

Cause: the session learned of a restart only from a silence or a report. After a pause of the owner's process, an answer of the former incarnation waits in the socket and looks new; an entry with a later start was not looked at; and a report without the start forgot the known one.

The session now acknowledges nothing while it has been paused since the last answered renewal was sent, or while the entry shows a later start than the reports. It acknowledges with the renewal after that one.

The three tests in WorkerSessionTest fail without the change. No play with processes has shown it.

--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OrderGate.java
@@ -77,6 +77,11 @@
         return validity.isValid(clock.nowMillis());
     }
 
+    /** The number of pauses of this process until now. */
+    long pauses() {
+        return gate.pauses();
+    }
+
     private void closed() {
         validity.pause(clock.nowMillis());
         Logger.info("event=owner_paused fence={}", fence.version());
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -216,6 +216,11 @@
         return scheduling;
     }
 
+    @Override
+    public long pauses() {
+        return gate.pauses();
+    }
+
     @Override
     public void fenced(String by) {
         if (!ended) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/PauseGate.java
@@ -57,6 +57,11 @@
         return !confirming;
     }
 
+    /** The number of pauses until now. */
+    long pauses() {
+        return detector.pauses();
+    }
+
     /** Closes the gate if there was a pause since the last check. */
     void checkPause() {
         if (noticePause() && !confirming) {
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -41,6 +41,9 @@
 
         /** Whether the jobs are loaded, so that reports can be applied to the scheduler. */
         boolean jobsLoaded();
+
+        /** The number of pauses of this process until now. */
+        long pauses();
     }
 
     private static final int LONG_POLL_MILLIS = 1_000;
@@ -79,6 +82,10 @@
     private int incarnation;
     private long lastSeenNumber;
     private long lastRecordedNumber;
+
+    /** Pauses of this process when the last answered renewal was sent. */
+    private long pausesAtReport;
+
     private boolean reportApplied;
 
     /** Whether the latest report could not be applied. */
@@ -280,26 +287,41 @@
         // Does not wait for new finished runs while some are unacknowledged, because the worker
         // would list those again at once, nor after a silence, because the worker may have
         // restarted, which has to be known soon.
+        long pauses = term.pauses();
+        boolean mayHaveRestarted = mayHaveRestarted(pauses);
         boolean longPoll =
                 term.jobsLoaded()
                         && lease.isClockKnown()
-                        && !unresponsive
+                        && !mayHaveRestarted
                         && lastRecordedNumber == lastSeenNumber;
         int waitMillis = longPoll ? LONG_POLL_MILLIS : 0;
         long token = fence.current();
-        // A worker that has been silent may have restarted, and numbers its finished runs anew.
-        long acknowledged = unresponsive ? 0 : lastRecordedNumber;
+        long acknowledged = mayHaveRestarted ? 0 : lastRecordedNumber;
         calls.renew(entry, leaseUntilClockMillis, acknowledged, waitMillis, token)
                 .whenComplete(
                         (report, failure) -> {
                             renewing = false;
                             clock.runOrRetry(
-                                    () -> renewalAnswered(report, failure, sentMillis, token),
+                                    () -> {
+                                        pausesAtReport = pauses;
+                                        renewalAnswered(report, failure, sentMillis, token);
+                                    },
                                     RETRY_DELAY_MILLIS,
                                     this::renew);
                         });
     }
 
+    /**
+     * Whether the worker may have restarted since the report that was handled last, and numbers its
+     * finished runs anew: it has been silent, its entry shows a later start, or this process was
+     * paused and cannot tell how old that report is.
+     */
+    private boolean mayHaveRestarted(long pauses) {
+        return unresponsive
+                || pauses != pausesAtReport
+                || startedEpochMillis != 0 && entry.startedEpochMillis() > startedEpochMillis;
+    }
+
     private void renewalAnswered(
             WorkerReport report, Throwable failure, long sentMillis, long token) {
         Runnable onResult = onNextResult;
@@ -340,7 +362,9 @@
             lastRecordedNumber = 0;
             incarnation++;
         }
-        startedEpochMillis = report.startedEpochMillis();
+        if (report.startedEpochMillis() != 0) {
+            startedEpochMillis = report.startedEpochMillis();
+        }
         boolean first = !lease.isClockKnown();
         lease.setClock(report.clockMillis(), now);
         tasksReleased = false;
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/EndedJobsTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/EndedJobsTest.java
@@ -60,6 +60,11 @@
         return true;
     }
 
+    @Override
+    public long pauses() {
+        return 0;
+    }
+
     /** Guards against rows and memory that grow for ever while jobs end at a high rate. */
     @Test
     void keepsUpWithTheJobsThatEnd() {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InstanceOrderLogTest.java
@@ -52,6 +52,11 @@
         public boolean jobsLoaded() {
             return true;
         }
+
+        @Override
+        public long pauses() {
+            return 0;
+        }
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OrderGateTest.java
@@ -103,6 +103,11 @@
         return true;
     }
 
+    @Override
+    public long pauses() {
+        return 0;
+    }
+
     private void order(String name) {
         process.run(
                 () -> {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -58,6 +58,7 @@
     private String fencedBy;
     private boolean failing;
     private boolean jobsLoaded = true;
+    private long pauses;
 
     private static WorkerEntry entry(long startedEpochMillis) {
         return new WorkerEntry(
@@ -150,6 +151,11 @@
         return jobsLoaded;
     }
 
+    @Override
+    public long pauses() {
+        return pauses;
+    }
+
     @Override
     public void start(WorkerId worker, StartOrder order) {}
 
@@ -225,6 +231,49 @@
         assertThat(calls.acknowledged).containsExactly(0L, 0L, 5L, 0L, 0L);
     }
 
+    /**
+     * Guards against the same while the last answer of a worker's former incarnation is still on
+     * its way, and its entry already shows the restart.
+     */
+    @Test
+    void acknowledgesNothingToAWorkerWhoseEntryShowsARestart() {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        calls.renewals.get(1).complete(report(end(5)));
+        session.recordedUpTo(session.seenCursor());
+        session.updateEntry(entry(2));
+        calls.renewals.get(2).complete(report());
+
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 5L, 0L);
+    }
+
+    /** Guards against the same after a pause of this process, in which the worker restarted. */
+    @Test
+    void acknowledgesNothingAfterAPauseUntilTheWorkerHasAnsweredAgain() {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        calls.renewals.get(1).complete(report(end(5)));
+        session.recordedUpTo(session.seenCursor());
+        pauses++;
+        calls.renewals.get(2).complete(report());
+        calls.renewals.get(3).complete(report());
+
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 5L, 0L, 5L);
+    }
+
+    /** Guards against the same after a report that did not tell when the worker was started. */
+    @Test
+    void acknowledgesNothingToARestartedWorkerAfterAReportWithoutItsStart() {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(report());
+        calls.renewals.get(1).complete(report(end(5)));
+        session.recordedUpTo(session.seenCursor());
+        calls.renewals.get(2).complete(new WorkerReport(50, 0, List.of(), List.of()));
+        calls.renewals.get(3).complete(new WorkerReport(50, 2, List.of(), List.of()));
+
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 5L, 5L, 0L);
+    }
+
     /**
      * Guards against an acknowledgement that a restarted worker carries out late (TWICE): each
      * renewal without an answer is followed by a higher token, which rejects it.
