Count siblings as unknown while one of their rows cannot be read

While the store does not answer, an owner goes on if none of its siblings could have taken the lease. An instance whose row in nodes/fleet could not be decoded was left out of that, so it could take over while the owner and all others were cut off together, and both acted (TWICE).

Now such a row leaves the siblings unknown, which confirms nothing. Rows with IPv6 addresses, whose colons were taken for separators, are read.

The two tests in SiblingDirectoryTest fail without the change.

--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
@@ -95,9 +95,13 @@
         this.limits = limits;
     }
 
-    /** Replaces the addresses of the siblings' relay servers. */
-    public void updateSiblings(Map<InstanceId, InetSocketAddress> newAddresses) {
-        siblingsKnown = true;
+    /**
+     * Replaces the addresses of the siblings' relay servers.
+     *
+     * @param complete whether these are all registered siblings
+     */
+    public void updateSiblings(Map<InstanceId, InetSocketAddress> newAddresses, boolean complete) {
+        siblingsKnown = complete;
         for (InstanceId id : List.copyOf(clients.keySet())) {
             if (!addresses.get(id).equals(newAddresses.get(id))) {
                 clients.remove(id).close();
@@ -109,7 +113,7 @@
                 .forEach(entry -> entry.route.updateSiblings(List.copyOf(addresses.keySet())));
     }
 
-    /** Whether the siblings have been read. */
+    /** Whether all registered siblings have been read. */
     boolean areSiblingsKnown() {
         return siblingsKnown;
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
@@ -110,23 +110,28 @@
         if (failure == null) {
             Map<InstanceId, Sibling> siblings = new HashMap<>();
             snapshot.rows().forEach(row -> parseRow(row, siblings));
+            boolean complete = siblings.size() == snapshot.rows().size();
             siblings.remove(self);
             siblingCount = siblings.size();
             Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
             siblings.forEach((id, sibling) -> addresses.put(id, sibling.address()));
-            table.updateSiblings(addresses);
+            table.updateSiblings(addresses, complete);
             preference.updateSiblings(siblings.values().stream().map(Sibling::cores).toList());
         }
         clock.after(REFRESH_INTERVAL_MILLIS, this::refresh);
     }
 
-    /** Adds the sibling of a row ADDRESS:PORT:CORES; an invalid row costs that sibling only. */
+    /** Adds the sibling of a row ADDRESS:PORT:CORES; an IPv6 address has colons as well. */
     private static void parseRow(Row row, Map<InstanceId, Sibling> siblings) {
-        String[] parts = row.value().split(":");
+        String text = row.value();
         try {
             InstanceId id = new InstanceId(row.key().value().substring(PREFIX.length()));
-            InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
-            siblings.put(id, new Sibling(address, Double.parseDouble(parts[2])));
+            int coresIndex = text.lastIndexOf(':');
+            int portIndex = text.lastIndexOf(':', coresIndex - 1);
+            int port = Integer.parseInt(text.substring(portIndex + 1, coresIndex));
+            InetSocketAddress address = new InetSocketAddress(text.substring(0, portIndex), port);
+            double cores = Double.parseDouble(text.substring(coresIndex + 1));
+            siblings.put(id, new Sibling(address, cores));
         } catch (RuntimeException e) {
             Logger.error("event=row_ignored key={} cause=\"{}\"", row.key(), e.toString());
         }
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/RelayedTableTest.java
@@ -117,7 +117,8 @@
         server.start();
         InetSocketAddress address =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
-        loop.submit(() -> table.updateSiblings(Map.of(SIBLING, address))).syncUninterruptibly();
+        loop.submit(() -> table.updateSiblings(Map.of(SIBLING, address), true))
+                .syncUninterruptibly();
     }
 
     @AfterEach
@@ -182,7 +183,7 @@
             try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 InetSocketAddress address =
                         new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort());
-                loop.submit(() -> table.updateSiblings(Map.of(SIBLING, address)))
+                loop.submit(() -> table.updateSiblings(Map.of(SIBLING, address), true))
                         .syncUninterruptibly();
 
                 assertThat(call(views::ask)).isEmpty();
@@ -302,11 +303,11 @@
                 () ->
                         table.changesAfter("jobs", 1, 1_000)
                                 .whenComplete((changes, cause) -> failure.complete(cause)));
-        loop.submit(() -> table.updateSiblings(Map.of())).syncUninterruptibly();
+        loop.submit(() -> table.updateSiblings(Map.of(), true)).syncUninterruptibly();
         failure.orTimeout(10, TimeUnit.SECONDS).join();
 
         assertThat(
-                        loop.submit(() -> table.updateSiblings(Map.of()))
+                        loop.submit(() -> table.updateSiblings(Map.of(), true))
                                 .awaitUninterruptibly()
                                 .isSuccess())
                 .isTrue();
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.quetzalscale.core.id.InstanceId;
+import org.quetzalscale.core.lease.LeaseRow;
+import org.quetzalscale.core.lease.LeaseView;
 import org.quetzalscale.core.lease.OwnerPreference;
 import org.quetzalscale.core.retry.CallRetryBudget;
 import org.quetzalscale.core.table.Changes;
@@ -102,4 +104,84 @@
         assertThat(preference.waitMillis()).isPositive();
         group.next().submit(directory::stop).get();
     }
+
+    /** Guards against siblings that are not found because their addresses have colons. */
+    @Test
+    void readsSiblingsWithIpv6Addresses() throws Exception {
+        OwnerPreference preference = new OwnerPreference(0.36);
+        FixedRows rows = new FixedRows(List.of(row("node-4", "0:0:0:0:0:0:0:1:4:1.5")));
+        TimeSource time = TimeSource.system();
+        LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
+        RelayedTable table =
+                new RelayedTable(
+                        rows,
+                        group.next(),
+                        time,
+                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
+        SiblingDirectory directory =
+                new SiblingDirectory(
+                        new InstanceId("node-1"),
+                        new InetSocketAddress("127.0.0.1", 1),
+                        0.36,
+                        table,
+                        clock,
+                        preference);
+
+        group.next().submit(directory::start).get();
+
+        assertThat(preference.waitMillis()).isPositive();
+        group.next().submit(directory::stop).get();
+    }
+
+    /**
+     * Guards against an owner that takes an instance for absent whose row it cannot read (TWICE):
+     * that instance may take over while all others are cut off with the owner.
+     */
+    @Test
+    void knowsNoLeaseViewsWhileTheRowOfASiblingIsUnreadable() throws Exception {
+        TimeSource time = TimeSource.system();
+        LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
+        FixedRows none = new FixedRows(List.of());
+        RelayedTable siblingTable =
+                new RelayedTable(
+                        none,
+                        group.next(),
+                        time,
+                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
+        RelayServer sibling =
+                RelayServer.of(
+                        new InetSocketAddress("127.0.0.1", 0),
+                        group,
+                        none,
+                        siblingTable,
+                        () -> new LeaseRow("node-1", 1));
+        sibling.start();
+        FixedRows rows =
+                new FixedRows(
+                        List.of(
+                                row("node-2", "127.0.0.1:" + sibling.port() + ":1"),
+                                row("node-3", "of another format")));
+        RelayedTable table =
+                new RelayedTable(
+                        rows,
+                        group.next(),
+                        time,
+                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
+        SiblingDirectory directory =
+                new SiblingDirectory(
+                        new InstanceId("node-1"),
+                        new InetSocketAddress("127.0.0.1", 1),
+                        1,
+                        table,
+                        clock,
+                        new OwnerPreference(1));
+        group.next().submit(directory::start).get();
+
+        CompletableFuture<Optional<List<LeaseView>>> views = new CompletableFuture<>();
+        group.next().execute(() -> new RelayedLeaseViews(table).ask().thenAccept(views::complete));
+
+        assertThat(views.get(5, TimeUnit.SECONDS)).isEmpty();
+        group.next().submit(directory::stop).get();
+        sibling.stop();
+    }
 }
