Let a sibling that has not read the lease confirm no owner

While the store does not answer, an owner goes on if no sibling could have taken the lease. A sibling that has restarted since the outage began knows of no holder, which counted as "has not taken it". It may have taken the lease before its restart and have started tasks elsewhere, so a former owner that was cut off from it meanwhile would act again after the partition (TWICE).

A sibling now counts only once it has read the lease. Price: during an outage of the store for all, a restarted instance keeps the owner from extending leases, as an instance that is down does.

TermValidityTest.thatCannotReachTheTableConfirm took such a sibling for one that confirms; it has one that has read a free lease now, and a new test states the other case. The new test fails without the change.

--- a/core/src/main/java/org/quetzalscale/core/lease/LeaseView.java
+++ b/core/src/main/java/org/quetzalscale/core/lease/LeaseView.java
@@ -26,8 +26,15 @@
         return renewals > generation && !holder.isEmpty() && !holder.equals(self.value());
     }
 
-    /** Whether neither the instance has taken the lease, nor could take it when it answered. */
+    /**
+     * Whether neither the instance has taken the lease, nor could take it when it answered. An
+     * instance that has not read the lease may have taken it before its restart.
+     */
     boolean excludesTakeover(InstanceId self, long generation) {
-        return !tableResponds && !showsLaterHolder(self, generation);
+        return !tableResponds && hasReadLease() && !showsLaterHolder(self, generation);
+    }
+
+    private boolean hasReadLease() {
+        return !holder.isEmpty() || renewals > 0;
     }
 }
--- a/core/src/test/java/org/quetzalscale/core/lease/TermValidityTest.java
+++ b/core/src/test/java/org/quetzalscale/core/lease/TermValidityTest.java
@@ -58,11 +58,18 @@
 
         @Test
         void thatCannotReachTheTableConfirm() {
-            answer(CUT_OFF, new LeaseView(false, "", 0));
+            answer(CUT_OFF, new LeaseView(false, "", 40));
 
             assertValidUntil(3_900);
         }
 
+        @Test
+        void thatHaveNotReadTheLeaseSinceTheirStartConfirmNothing() {
+            answer(CUT_OFF, new LeaseView(false, "", 0));
+
+            assertValidUntil(2_500);
+        }
+
         @Test
         void thatDoNotAnswerConfirmNothing() {
             validity.siblingsAnswered(Optional.empty(), 2_400);
