Keep workers in use that report after the answer to their order

A worker ends with the maintenance or the move of its instance. The planners released its tasks by the first list that was requested after the order was answered. The answer is the same if an earlier owner's order was carried out before; the worker may have returned since, and a list that lags still shows it as gone. Its tasks were started elsewhere while they ran (TWICE, LIMIT).

Now a report to a call that was sent after the answer shows that the order did not end the worker; the planners wait for a list that agrees, or until the worker is removed for another reason.

MaintenancePlannerTest.releaseNoTasksOfAWorkerThatReportedAfterTheAnswer and PoolBalancerTest.keepAWorkerThatReportedAfterTheAnswer fail without the change.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -301,6 +301,12 @@
         return worker != null && worker.reported;
     }
 
+    /** Whether the worker is known and has reported to a call that was sent after the time. */
+    boolean hasReportedAfter(WorkerId id, long sinceMillis) {
+        WorkerState worker = fleet.workers.get(id);
+        return worker != null && worker.reported && worker.reportRequestedMillis > sinceMillis;
+    }
+
     /** Whether the pool is a standby pool, whose instances are switched off. */
     public boolean isStandby(PoolId pool) {
         PoolPolicy poolPolicy = policy.pools().get(pool);
@@ -377,6 +383,7 @@
         }
         worker.unresponsive = false;
         worker.heardMillis = nowMillis;
+        worker.reportRequestedMillis = sentMillis;
         reportHandler.apply(worker, report, ends, sentMillis, nowMillis);
         worker.reported = true;
         stallDetector.check(worker, nowMillis);
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -150,7 +150,7 @@
     /**
      * Follows an instance whose order was answered as done. The answer is the same if the order of
      * an earlier owner had been carried out before; in that case the worker and its tasks still
-     * run.
+     * run, also if the list lags and shows the earlier maintenance.
      */
     private Optional<WorkerId> trackMaintenance(
             MaintenanceItem item, FleetInstance instance, long requestedMillis, long nowMillis) {
@@ -165,6 +165,9 @@
                 item.transitionTo(MaintenanceItem.State.DONE, nowMillis);
                 return Optional.empty();
             }
+            if (scheduler.hasReportedAfter(item.worker, item.stateSinceMillis)) {
+                return Optional.empty();
+            }
             endedWorker = Optional.of(item.worker);
             scheduler.removeWorker(item.worker, nowMillis);
             item.worker = null;
--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
@@ -109,13 +109,20 @@
             if (move == null || requestedMillis <= move.confirmedMillis) {
                 continue;
             }
-            pendingMoves.remove(instance.id());
-            if (move.worker == null) {
+            boolean unmoved =
+                    move.worker != null
+                            && instance.up()
+                            && instance.worker().filter(move.worker::equals).isPresent();
+            if (!unmoved
+                    && move.worker != null
+                    && scheduler.hasReportedAfter(move.worker, move.confirmedMillis)) {
+                // The list lags, and shows an earlier move.
                 continue;
             }
-            if (instance.up() && instance.worker().filter(move.worker::equals).isPresent()) {
+            pendingMoves.remove(instance.id());
+            if (unmoved) {
                 setCordoned(move.worker, false);
-            } else {
+            } else if (move.worker != null) {
                 scheduler.removeWorker(move.worker, nowMillis);
                 endedWorkers.add(move.worker);
             }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -57,6 +57,9 @@
     /** When the worker answered last, or its present incarnation became known. */
     long heardMillis;
 
+    /** When the call was sent that the worker answered last with a report. */
+    long reportRequestedMillis;
+
     /**
      * No task is started before this time, after the worker rejected a start or a task stalled on
      * it.
--- a/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/MaintenancePlannerTest.java
@@ -209,6 +209,36 @@
             assertThat(planner.isCompleted()).isTrue();
         }
 
+        /**
+         * Guards against a second run of a task (TWICE): an order that an earlier owner's order
+         * carried out before is answered as done, and a list that lags by less than
+         * EndedWorkers.MAX_LIST_LAG_MILLIS still shows that maintenance, although the worker has
+         * returned under its id and has reported its runs after the answer.
+         */
+        @Test
+        void releaseNoTasksOfAWorkerThatReportedAfterTheAnswer() {
+            MaintenancePlanner planner = planner(1, 1);
+            startAndReportServing(Samples.job(1, Samples.lasting(WORKERS, 1, 1)));
+            planner.updateInstances(allUp(), now, now);
+            int started = orders.starts.size();
+            InstanceId id = planner.plan(now).get(0);
+            planner.answered(id, InstanceAnswer.DONE, now);
+
+            now += 200;
+            RecordedOrders.Start own =
+                    orders.starts.stream()
+                            .filter(start -> start.worker().equals(Samples.workerId(1)))
+                            .findFirst()
+                            .orElseThrow();
+            report(1, List.of(running(own)), List.of());
+            List<FleetInstance> late = allUp();
+            late.set(0, down(1));
+            planner.updateInstances(late, now, now);
+            scheduler.plan(now, 0);
+
+            assertThat(orders.starts).hasSize(started);
+        }
+
         /** Guards against tasks that wait for a lease to expire although their worker has ended. */
         @Test
         void releaseTheTasksOfAnEndedWorker() {
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
@@ -14,11 +14,13 @@
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.id.PoolId;
 import org.quetzalscale.core.id.QueueId;
+import org.quetzalscale.core.id.WorkerId;
 import org.quetzalscale.core.instance.FleetInstance;
 import org.quetzalscale.core.instance.InstanceAnswer;
 import org.quetzalscale.core.instance.InstanceState;
 import org.quetzalscale.core.instance.MoveOrder;
 import org.quetzalscale.core.task.Recurrence;
+import org.quetzalscale.core.task.WorkerReport;
 
 final class PoolBalancerTest extends SchedulerFixture {
     private static final PoolId OTHER = new PoolId("other");
@@ -237,6 +239,38 @@
             assertThat(scheduler.fleet().workers.values())
                     .allMatch(worker -> WorkerUse.acceptsNewTasks(worker, now));
         }
+
+        /**
+         * Guards against runs that are taken for ended while they go on (TWICE): the move was
+         * carried out by an earlier owner's order, the worker has returned and reported, and a list
+         * that lags shows that move.
+         */
+        @Test
+        void keepAWorkerThatReportedAfterTheAnswer() {
+            add(Samples.POOL, 1, 10);
+            add(OTHER, 11, 10);
+            MoveOrder move = planMoves().get(0);
+            balancer.answered(move, InstanceAnswer.DONE, now);
+            FleetInstance moved =
+                    instances.stream()
+                            .filter(each -> each.id().equals(move.instance()))
+                            .findFirst()
+                            .orElseThrow();
+            WorkerId worker = moved.worker().orElseThrow();
+
+            now += 200;
+            scheduler.handleReport(
+                    worker, new WorkerReport(now, 1, List.of(), List.of()), List.of(), now, now);
+            instances.replaceAll(each -> each == moved ? moving(each) : each);
+            assertThat(balancer.updateInstances(instances, now, now)).isEmpty();
+
+            assertThat(scheduler.fleet().workers).containsKey(worker);
+        }
+
+        private FleetInstance moving(FleetInstance instance) {
+            return new FleetInstance(
+                    instance.id(), STANDBY, InstanceState.MOVING, "", Optional.empty());
+        }
     }
 
     @Nested
