Judge a run without progress by its pace and its declared time

Cause: StallDetector stopped every run whose percent had not changed for 2 s. Workers report whole percent, and 1% of 300 s takes 3 s.

Change: how long a run may show the same percent follows from its own pace (RunProgress), the pace of its siblings or its declared time, never less than 2 s, and doubles with each stalled run of the task. A new checkpoint counts as progress.

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -231,7 +231,6 @@
         WorkerState worker = turn.choose(task);
         if (worker != null) {
             fleet.assign(task, worker, TrackedTask.State.STARTING, nowMillis);
-            task.lastProgressMillis = nowMillis;
         }
         return worker;
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetState.java
@@ -151,7 +151,7 @@
             task.clearCrashes();
         }
         task.worker = null;
-        task.percent = 0;
+        task.progress.reset();
         task.pacePercent = 100;
         task.evicting = false;
         task.unansweredMillis = 0;
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -125,7 +125,8 @@
     private void stopOrphan(TrackedTask task) {
         WorkerState worker = fleet.workers.get(task.worker);
         if (worker != null) {
-            RunningTask run = new RunningTask(task.ref, task.run, task.checkpoint, task.percent, 0);
+            int percent = task.progress.percent();
+            RunningTask run = new RunningTask(task.ref, task.run, task.checkpoint, percent, 0);
             worker.orphanedRuns.put(run, task.step.definition.reserved());
         }
         orders.stop(task.worker, task.ref, task.run);
--- a/core/src/main/java/org/quetzalscale/core/schedule/RunForecast.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/RunForecast.java
@@ -72,9 +72,10 @@
     }
 
     private double totalMillis(TrackedTask task) {
-        long measured = task.lastProgressMillis - task.stateSinceMillis;
-        if (task.percent >= MIN_PERCENT && task.percent < ALL_PERCENT && measured > 0) {
-            return measured * ALL_PERCENT / task.percent;
+        long measured = task.progress.percentMillis() - task.stateSinceMillis;
+        int percent = task.progress.percent();
+        if (percent >= MIN_PERCENT && percent < ALL_PERCENT && measured > 0) {
+            return measured * ALL_PERCENT / percent;
         }
         return runMillis(task.step);
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRun.java
@@ -33,6 +33,7 @@
     private Set<WorkerId> failedOn = Set.of();
 
     private long longestFailedMillis;
+    private double slowestMillisPerPercent;
 
     StepRun(JobRun job, int occurrence, int number, StepDefinition definition) {
         this.job = job;
@@ -94,6 +95,19 @@
         longestFailedMillis = Math.max(longestFailedMillis, durationMillis);
     }
 
+    /** Records the pace of a run of the step, if that is known. */
+    void recordPace(RunProgress progress) {
+        if (progress.isPaceKnown()) {
+            slowestMillisPerPercent =
+                    Math.max(slowestMillisPerPercent, progress.millisPerPercent());
+        }
+    }
+
+    /** The longest mean time that a run of the step took for one percent; 0 if none is known. */
+    double slowestMillisPerPercent() {
+        return slowestMillisPerPercent;
+    }
+
     /**
      * Whether tasks of the step fail on many workers and succeed on none. A run that has lasted
      * much longer than the failed ones counts as a success.
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -44,7 +44,7 @@
     /** Numbers of the runs whose workers crashed. */
     private Set<Long> crashedRuns = Set.of();
 
-    int percent;
+    final RunProgress progress = new RunProgress();
     int pacePercent = 100;
     long load;
     long lastPacedMillis;
@@ -52,8 +52,8 @@
     /** When the task entered its current state. */
     long stateSinceMillis;
 
-    /** When {@link #percent} last changed. */
-    long lastProgressMillis;
+    /** Number of runs that were stopped because they made no progress. */
+    int stalledRuns;
 
     /** Whether an instance order that ends the run was sent. */
     boolean evicting;
@@ -144,7 +144,7 @@
      * users.
      */
     boolean isServing() {
-        return state == State.RUNNING && percent >= SERVING_PERCENT && !evicting;
+        return state == State.RUNNING && progress.percent() >= SERVING_PERCENT && !evicting;
     }
 
     /**
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -109,16 +109,17 @@
 
     private static void updateProgress(
             TrackedTask task, WorkerState worker, RunningTask running, long nowMillis) {
-        if (running.percent() != task.percent) {
-            task.percent = running.percent();
-            task.lastProgressMillis = nowMillis;
+        if (task.progress.observe(running.percent(), nowMillis)) {
+            task.step.recordPace(task.progress);
             if (task.isShownHarmless()) {
+                task.stalledRuns = 0;
                 worker.health.recordSuccess();
             }
         }
         task.load = running.load();
-        if (!running.checkpoint().isEmpty()) {
+        if (!running.checkpoint().isEmpty() && !running.checkpoint().equals(task.checkpoint)) {
             task.checkpoint = running.checkpoint();
+            task.progress.observeCheckpoint(nowMillis);
         }
     }
 
