Start lasting tasks again that end as done

Cause: the report of an end as done was handled alike for all tasks.

Change: such an end releases the task, which starts again after the same pause as after a failed run. It says nothing against the worker.

Evidence: 3 of the 4 cases of FleetSchedulerTest.LastingTasksThatEndAsDone fail on the code before; areNotStartedAgainAfterACancellation passed there and guards the other side.

--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -147,8 +147,7 @@
             worker.health.recordFailure(task, nowMillis);
         }
         if (lasting) {
-            long wait = LASTING_RETRY_MILLIS << Math.min(task.failures, 4);
-            task.retryAtMillis = nowMillis + Math.min(wait, MAX_LASTING_RETRY_MILLIS);
+            pauseBeforeRestart(task, nowMillis);
             return;
         }
         changed.add(job);
@@ -159,6 +158,18 @@
         }
     }
 
+    /** Handles a lasting task that ended as done: it starts again like one that failed. */
+    void handleLastingEnd(TrackedTask task, long nowMillis) {
+        task.step.markStarted();
+        task.failures++;
+        pauseBeforeRestart(task, nowMillis);
+    }
+
+    private static void pauseBeforeRestart(TrackedTask task, long nowMillis) {
+        long wait = LASTING_RETRY_MILLIS << Math.min(task.failures, 4);
+        task.retryAtMillis = nowMillis + Math.min(wait, MAX_LASTING_RETRY_MILLIS);
+    }
+
     /** Ends a job and stops its tasks. */
     void endJob(JobRun job, JobPhase phase, long nowMillis) {
         job.phase = phase;
--- a/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/TrackedTask.java
@@ -33,6 +33,8 @@
 
     long run;
     String checkpoint = "";
+
+    /** Number of failed runs; of runs that ended by themselves if the task is lasting. */
     int failures;
 
     /**
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -60,7 +60,8 @@
             return;
         }
         boolean current = task.isAssigned() && worker.entry.id().equals(task.worker);
-        if (end.end() == RunEnd.DONE) {
+        boolean lasting = task.step.definition.lasting();
+        if (end.end() == RunEnd.DONE && !lasting) {
             jobs.handleSuccess(task, worker, current && task.run == end.run(), nowMillis);
             return;
         }
@@ -77,6 +78,8 @@
         }
         if (end.end() == RunEnd.FAILED) {
             jobs.handleFailure(task, failedRun, worker, nowMillis);
+        } else if (end.end() == RunEnd.DONE) {
+            jobs.handleLastingEnd(task, nowMillis);
         }
     }
 
--- a/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/FleetSchedulerTest.java
@@ -224,6 +224,89 @@
         }
     }
 
+    @Nested
+    final class LastingTasksThatEndAsDone {
+        private static final long MAX_PAUSE_MILLIS = 800;
+
+        private RecordedOrders.Start startOne() {
+            addWorker(1);
+            add(Samples.job(1, Samples.lasting(1, 1, 0)));
+            plan();
+            confirm(orders.lastStart());
+            report(1, List.of(running(orders.lastStart())), List.of());
+            return orders.lastStart();
+        }
+
+        private void endAsDone(long number, RecordedOrders.Start start) {
+            report(1, List.of(), List.of(end(number, start, RunEnd.DONE)));
+        }
+
+        /** Guards against a service that is away for good after one of its runs ended (LOST). */
+        @Test
+        void areStartedAgain() {
+            RecordedOrders.Start first = startOne();
+            endAsDone(1, first);
+            now += MAX_PAUSE_MILLIS;
+            plan();
+
+            assertThat(orders.starts).hasSize(2);
+            assertThat(orders.lastStart().order().run()).isGreaterThan(first.order().run());
+            assertThat(scheduler.takeChangedJobs())
+                    .extracting(JobProgress::phase)
+                    .doesNotContain(JobPhase.COMPLETED);
+        }
+
+        /** Guards against starts without pause of a task that ends at once. */
+        @Test
+        void arePaused() {
+            RecordedOrders.Start start = startOne();
+            for (int number = 1; number <= 10; number++) {
+                endAsDone(number, start);
+                plan();
+                assertThat(orders.starts).hasSize(number);
+                now += MAX_PAUSE_MILLIS;
+                plan();
+                start = orders.lastStart();
+                confirm(start);
+            }
+
+            assertThat(orders.starts).hasSize(11);
+        }
+
+        /** Guards against a start of a task whose job was cancelled (UNASKED). */
+        @Test
+        void areNotStartedAgainAfterACancellation() {
+            RecordedOrders.Start start = startOne();
+            scheduler.cancel(Samples.jobId(1), now);
+            endAsDone(1, start);
+            now += MAX_PAUSE_MILLIS;
+            plan();
+
+            assertThat(orders.starts).hasSize(1);
+            assertThat(scheduler.takeChangedJobs())
+                    .extracting(JobProgress::phase)
+                    .containsExactly(JobPhase.CANCELLED);
+        }
+
+        /** Guards against a second run beside one that is at work elsewhere (TWICE). */
+        @Test
+        void leaveALaterRunAlone() {
+            RecordedOrders.Start first = startOne();
+            endAsDone(1, first);
+            now += MAX_PAUSE_MILLIS;
+            plan();
+            RecordedOrders.Start second = orders.lastStart();
+            confirm(second);
+
+            report(1, List.of(running(second)), List.of(end(1, first, RunEnd.DONE)));
+            now += MAX_PAUSE_MILLIS;
+            plan();
+
+            assertThat(orders.starts).hasSize(2);
+            assertThat(orders.stops).isEmpty();
+        }
+    }
+
     @Nested
     final class StalledTasks {
         private void reportAt(int worker, RecordedOrders.Start start, int percent) {
