Take an instance that restarts for a sibling that may be running

While the store does not answer, an owner goes on if none of its siblings could have taken the lease. An instance that restarts deletes its registration, so the owner left it out. If the owner, all other instances and a worker are then cut off from the store and from that instance, it takes the lease over, and both act for as long as the partition lasts (TWICE).

SiblingRoster keeps such an instance for 60 s after the read that missed it, during which the siblings count as unknown and confirm nothing. Without a read, as in a partition, the time does not end. Price: after a graceful stop of an instance, an outage of the store for all lets runs end as if that instance did not answer, for up to 60 s.

An instance with a new name that starts during such a partition remains open (docs/proofs.md).

--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
@@ -98,7 +98,7 @@
     /**
      * Replaces the addresses of the siblings' relay servers.
      *
-     * @param complete whether these are all registered siblings
+     * @param complete whether these are all siblings that may be running
      */
     public void updateSiblings(Map<InstanceId, InetSocketAddress> newAddresses, boolean complete) {
         siblingsKnown = complete;
@@ -113,7 +113,7 @@
                 .forEach(entry -> entry.route.updateSiblings(List.copyOf(addresses.keySet())));
     }
 
-    /** Whether all registered siblings have been read. */
+    /** Whether all siblings that may be running have been read. */
     boolean areSiblingsKnown() {
         return siblingsKnown;
     }
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/SiblingDirectory.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import org.quetzalscale.core.id.InstanceId;
 import org.quetzalscale.core.lease.OwnerPreference;
+import org.quetzalscale.core.lease.SiblingRoster;
 import org.quetzalscale.core.table.Mutation;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
@@ -30,6 +31,7 @@
     private final RelayedTable table;
     private final LoopClock clock;
     private final OwnerPreference preference;
+    private final SiblingRoster roster = new SiblingRoster();
     private boolean stopped;
     private int siblingCount;
 
@@ -110,12 +112,13 @@
         if (failure == null) {
             Map<InstanceId, Sibling> siblings = new HashMap<>();
             snapshot.rows().forEach(row -> parseRow(row, siblings));
-            boolean complete = siblings.size() == snapshot.rows().size();
+            boolean readable = siblings.size() == snapshot.rows().size();
             siblings.remove(self);
+            roster.update(siblings.keySet(), clock.nowMillis());
             siblingCount = siblings.size();
             Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
             siblings.forEach((id, sibling) -> addresses.put(id, sibling.address()));
-            table.updateSiblings(addresses, complete);
+            table.updateSiblings(addresses, readable && roster.isComplete());
             preference.updateSiblings(siblings.values().stream().map(Sibling::cores).toList());
         }
         clock.after(REFRESH_INTERVAL_MILLIS, this::refresh);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -110,6 +110,9 @@
                     new OwnerService(
                             context(name, clock, table, process), policies, new OwnerPreference(1));
             network.add(name, process, owner);
+            if (injected == SimulationFaults.JOINING_INSTANCE) {
+                network.join(name, process);
+            }
             gateway = new JobGateway(table, clock, () -> false, new CallRetryBudget(), count -> {});
             policies.start();
             owner.start();
@@ -187,7 +190,12 @@
                             });
             case UNLISTED_WORKERS ->
                     loop.after(UNLISTED_INTERVAL_MILLIS, this::removeEntryAndOwner);
-            case LOST_RENEWALS, PARTITIONED_OWNER, SLOW_ENTRIES, QUICK_RESTARTS, LATE_LISTS ->
+            case LOST_RENEWALS,
+                    PARTITIONED_OWNER,
+                    SLOW_ENTRIES,
+                    QUICK_RESTARTS,
+                    LATE_LISTS,
+                    JOINING_INSTANCE ->
                     networkFaults().begin(injected);
             default -> {
                 store.jobReadMillis =
@@ -274,6 +282,19 @@
         return nodes.stream().filter(Node::ownsFleet).map(node -> node.process).toList();
     }
 
+    @Override
+    public List<SimulatedProcess> processes() {
+        return nodes.stream().map(node -> node.process).filter(SimulatedProcess::isAlive).toList();
+    }
+
+    @Override
+    public void restartSibling(long downMillis) {
+        Node node = nodes.stream().filter(each -> !each.ownsFleet()).findFirst().orElseThrow();
+        faults.add(loop.nowMillis() + ": " + node.name + " is restarted");
+        network.leave(node.name);
+        node.kill(downMillis);
+    }
+
     @Override
     public SimulatedWorker presentWorker() {
         List<SimulatedWorker> present = instances.workers();
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -208,6 +208,15 @@
         run(variant, SimulationFaults.LATE_LISTS, seed);
     }
 
+    /**
+     * Guards against a second run of a task (TWICE): the owner and all siblings that it knows are
+     * cut off from the store, and an instance that it does not know takes over.
+     */
+    @Property(tries = 30, seed = "7205513353", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceWhileAnUnknownInstanceTakesOver(@ForAll @LongRange(min = 1) long seed) {
+        runTasksOnce(SimulationVariant.PLAIN, SimulationFaults.JOINING_INSTANCE, seed);
+    }
+
     /**
      * Checks only that no task runs twice: workers that crash again and again fail jobs, which is
      * no fault.
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetworkFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetworkFaults.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /** Faults between owners, workers, the store and the platform, which begin again and again. */
 final class SimulatedNetworkFaults {
@@ -30,6 +31,11 @@
     private static final int HEALTHY_SPREAD_MILLIS = 400;
     private static final int REFUSAL_MILLIS = 600;
 
+    private static final int RESTART_BEGIN_MILLIS = 6_000;
+    private static final int SIBLING_DOWN_MILLIS = 4_000;
+    private static final int CUT_AFTER_MILLIS = 3_500;
+    private static final int JOINING_PARTITION_MILLIS = 14_000;
+
     private final Parts parts;
     private final Fleet fleet;
     private final VirtualLoop loop;
@@ -62,6 +68,12 @@
 
         /** Processes that are alive and take themselves for the owner of the fleet. */
         List<SimulatedProcess> owners();
+
+        /** Processes that are alive. */
+        List<SimulatedProcess> processes();
+
+        /** Stops an instance that is not the owner gracefully, and starts it again later. */
+        void restartSibling(long downMillis);
     }
 
     SimulatedNetworkFaults(Parts parts, Fleet fleet) {
@@ -92,10 +104,32 @@
                 parts.instances().listDelayMillis = LIST_DELAY_MILLIS;
                 loop.after(RESTARTS_BEGIN_MILLIS, this::restartAndRefuse);
             }
+            case JOINING_INSTANCE ->
+                    loop.after(RESTART_BEGIN_MILLIS + random.nextInt(4_000), this::restartSibling);
             default -> throw new IllegalArgumentException(kind + " is no fault of the network");
         }
     }
 
+    /**
+     * Restarts an instance that is not the owner, and cuts off the others with a worker when they
+     * have read that it left, before it returns.
+     */
+    private void restartSibling() {
+        fleet.restartSibling(SIBLING_DOWN_MILLIS);
+        String worker = fleet.presentWorker().id;
+        loop.after(
+                CUT_AFTER_MILLIS,
+                () -> {
+                    log("the present instances reach only " + worker);
+                    parts.network()
+                            .divide(
+                                    Set.copyOf(fleet.processes()),
+                                    worker,
+                                    parts.instances().workers());
+                    loop.after(JOINING_PARTITION_MILLIS, parts.network()::unite);
+                });
+    }
+
     private boolean isOver() {
         return loop.nowMillis() > PERIOD_MILLIS;
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
@@ -47,5 +47,10 @@
      * Again and again a worker restarts and soon after answers with errors for a moment, and lists
      * of instances are answered late.
      */
-    LATE_LISTS
+    LATE_LISTS,
+    /**
+     * One instance is restarted gracefully, so that the others forget it. Meanwhile the owner, the
+     * other instance and one worker are cut off from everything else, and reach each other.
+     */
+    JOINING_INSTANCE
 }
