Keep the ports of soaks apart that start at the same time

Two soaks with successive process ids chose the same ports, so nodes of both ended by themselves with "Address already in use".

--- a/standin/src/main/java/org/quetzalscale/standin/soak/FreePorts.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/FreePorts.java
@@ -10,12 +10,17 @@
     private static final int LAST = 32_000;
     private static final int BLOCK = 100;
 
+    private static final int BLOCKS = (LAST - FIRST) / BLOCK;
+
+    /** Keeps soaks apart that start at the same time, as processes with successive ids. */
+    private static final int PROCESS_BLOCKS = 61;
+
     private int next =
-            FIRST + (int) (ProcessHandle.current().pid() % (LAST - FIRST) / BLOCK * BLOCK);
+            FIRST + (int) (ProcessHandle.current().pid() * PROCESS_BLOCKS % BLOCKS) * BLOCK;
 
     /** Returns the first of some successive free ports. */
     int next(int count) throws IOException {
-        for (int tries = 0; tries < (LAST - FIRST) / BLOCK; tries++) {
+        for (int tries = 0; tries < BLOCKS; tries++) {
             int first = next;
             next = next + BLOCK < LAST ? next + BLOCK : FIRST;
             if (areFree(first, count)) {
