Put a proxy in front of each node's relay server in the soak

A soak could cut nodes from the store and from workers, but not from each other, so an owner that was cut from the store went on through its siblings, and no play had an owner that nobody could reach. Each node's relay server now has a proxy on loopback, which the store names in place of the address that the node registers; a fault whose place is the node and whose caller is a sibling silences the links between them.

--- a/standin/src/main/java/org/quetzalscale/standin/soak/Fault.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Fault.java
@@ -3,7 +3,8 @@
 /**
  * A fault of a service that lasts.
  *
- * @param place the store, the list of instances or the machine of a worker
+ * @param place the store, the list of instances, the machine of a worker, or a node whose siblings
+ *     call it
  * @param node the only node whose calls it concerns; empty for all
  * @param share the part of the calls that it concerns, from 0 to 1
  * @param delayMillis the longest delay of a call, for the modes that have one
--- a/standin/src/main/java/org/quetzalscale/standin/soak/MetadataStore.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/MetadataStore.java
@@ -15,11 +15,18 @@
 
     private final StoreRows rows;
     private final Faults faults;
+    private final RelayAddresses relayAddresses;
     private final Scheduler scheduler;
     private final Timeline timeline;
 
-    MetadataStore(StoreRows rows, Faults faults, Scheduler scheduler, Timeline timeline) {
+    MetadataStore(
+            StoreRows rows,
+            RelayAddresses relayAddresses,
+            Faults faults,
+            Scheduler scheduler,
+            Timeline timeline) {
         this.rows = rows;
+        this.relayAddresses = relayAddresses;
         this.faults = faults;
         this.scheduler = scheduler;
         this.timeline = timeline;
@@ -83,6 +90,7 @@
     }
 
     private CompletionStage<HttpReply> transact(JsonNode body) {
+        relayAddresses.replaceIn(body);
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         scheduler.after(TRANSACTION_MILLIS, () -> reply.complete(rows.transact(body)));
         return reply;
--- a/standin/src/main/java/org/quetzalscale/standin/soak/NodeSettings.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/NodeSettings.java
@@ -25,6 +25,11 @@
         return port + READY_OFFSET;
     }
 
+    /** The port at which the relay server listens for the node's siblings. */
+    int relayPort() {
+        return port + INTERNAL_OFFSET;
+    }
+
     /** Writes the file, in the form of the checkout's template. */
     void write(Path checkout, Path file) throws IOException {
         String template = Files.readString(checkout.resolve(TEMPLATE));
@@ -62,7 +67,7 @@
                 .formatted(
                         name,
                         zone,
-                        port + INTERNAL_OFFSET,
+                        relayPort(),
                         port + PORTS - 2,
                         Workers.HEARTBEAT_MILLIS,
                         port,
--- a/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,6 +40,7 @@
     private static final int SUBMIT_MILLIS = 140;
     private static final int LOG_POLL_MILLIS = 50;
     private static final int CHECK_MILLIS = 100;
+    private static final int RELAY_CHECK_MILLIS = 10;
     private static final int START_SECONDS = 40;
 
     /** Time after the end of the traffic in which all jobs have to end. */
@@ -82,9 +84,11 @@
     private final CallerLookup callers;
     private final Workers workers;
     private final InstanceList list;
+    private final RelayAddresses relayAddresses = new RelayAddresses();
     private final MetadataStore store;
     private final Map<String, WireServer> storeServers = new HashMap<>();
     private final List<WireServer> listServers = new ArrayList<>();
+    private final List<RelayProxy> relayProxies = new ArrayList<>();
 
     /** Creates a soak; nothing is started yet. */
     public Soak(SoakOptions options) {
@@ -105,7 +109,7 @@
                 new Workers.Context(group, callers, rows, record, faults, scheduler, timeline);
         this.workers = new Workers(context, options.seed() + 2 * SEED_STEP);
         this.list = new InstanceList(workers, faults, scheduler, timeline);
-        this.store = new MetadataStore(rows, faults, scheduler, timeline);
+        this.store = new MetadataStore(rows, relayAddresses, faults, scheduler, timeline);
     }
 
     private void onStoreWrite(StoreRows.Place place) {
@@ -158,6 +162,7 @@
                                 .map(n -> "127.0.0.1:" + n.callersAddress().getPort())
                                 .toList()));
         nodes.all().forEach(NodeProcess::start);
+        scheduler.every(RELAY_CHECK_MILLIS, () -> relayProxies.forEach(RelayProxy::applyFaults));
         logScheduler.every(LOG_POLL_MILLIS, () -> nodes.all().forEach(NodeProcess::readLog));
         await("all nodes are ready", () -> nodes.all().stream().allMatch(this::isReady));
         await("a node owns the fleet", () -> nodes.owner().isPresent());
@@ -186,11 +191,19 @@
                             ports.next(NodeSettings.PORTS),
                             storeServer.address(),
                             listServer.address());
+            addRelayProxy(settings);
             created.add(new NodeProcess(settings, context));
         }
         nodes.add(created);
     }
 
+    private void addRelayProxy(NodeSettings settings) {
+        InetSocketAddress relay = new InetSocketAddress("127.0.0.1", settings.relayPort());
+        RelayProxy proxy = new RelayProxy(settings.name(), relay, group, callers, faults);
+        relayAddresses.add(settings.name(), proxy.port());
+        relayProxies.add(proxy);
+    }
+
     private void playTroubles() {
         Parts parts =
                 new Parts(
@@ -312,6 +325,7 @@
         workers.stop();
         storeServers.values().forEach(WireServer::stop);
         listServers.forEach(WireServer::stop);
+        relayProxies.forEach(RelayProxy::stop);
         group.shutdownGracefully();
         timeline.stop();
     }
