Reserve the ports of a soak's nodes while they are down

While a node was down, another soak on the machine took its ports: the node did not start again, and clients asked the other soak's node for their jobs. Each block of ports is now reserved by a listener on its last port.

--- a/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
@@ -87,6 +87,7 @@
     private final MetadataStore store;
     private final Map<String, WireServer> storeServers = new HashMap<>();
     private final List<WireServer> listServers = new ArrayList<>();
+    private final FreePorts ports = new FreePorts();
     private final List<RelayProxy> relayProxies = new ArrayList<>();
 
     /** Creates a soak; nothing is started yet. */
@@ -181,7 +182,6 @@
                         troubleScheduler,
                         timeline,
                         this::onLogLine);
-        FreePorts ports = new FreePorts();
         List<NodeProcess> created = new ArrayList<>();
         for (int i = 0; i < options.nodes(); i++) {
             String name = "node-" + (i + 1);
@@ -333,6 +333,7 @@
         storeServers.values().forEach(WireServer::stop);
         listServers.forEach(WireServer::stop);
         relayProxies.forEach(RelayProxy::stop);
+        ports.stop();
         group.shutdownGracefully();
         timeline.stop();
     }
