--- a/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/Soak.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,9 +37,9 @@
     }
 
     private static final int LOOP_THREADS = 3;
-    private static final int SUBMIT_MILLIS = 140;
     private static final int LOG_POLL_MILLIS = 50;
     private static final int CHECK_MILLIS = 100;
+    private static final int RELAY_CHECK_MILLIS = 10;
     private static final int START_SECONDS = 40;
 
     /** Time after the end of the traffic in which all jobs have to end. */
@@ -82,9 +83,12 @@
     private final CallerLookup callers;
     private final Workers workers;
     private final InstanceList list;
+    private final RelayAddresses relayAddresses = new RelayAddresses();
     private final MetadataStore store;
     private final Map<String, WireServer> storeServers = new HashMap<>();
     private final List<WireServer> listServers = new ArrayList<>();
+    private final FreePorts ports = new FreePorts();
+    private final List<RelayProxy> relayProxies = new ArrayList<>();
 
     /** Creates a soak; nothing is started yet. */
     public Soak(SoakOptions options) {
@@ -105,7 +109,7 @@
                 new Workers.Context(group, callers, rows, record, faults, scheduler, timeline);
         this.workers = new Workers(context, options.seed() + 2 * SEED_STEP);
         this.list = new InstanceList(workers, faults, scheduler, timeline);
-        this.store = new MetadataStore(rows, faults, scheduler, timeline);
+        this.store = new MetadataStore(rows, relayAddresses, faults, scheduler, timeline);
     }
 
     private void onStoreWrite(StoreRows.Place place) {
@@ -127,8 +131,8 @@
         Client client = null;
         try {
             startDeployment();
-            client = new Client(nodes, group, scheduler, timeline, options.seed());
-            client.start(SUBMIT_MILLIS);
+            client = createClient();
+            client.start(options.scenario().submitMillis());
             playTroubles();
             sleepSeconds(options.seconds());
             timeline.add("end of the traffic");
@@ -141,10 +145,16 @@
         }
     }
 
+    private Client createClient() {
+        JobMix mix = new JobMix(options.seed(), options.scenario().durations());
+        return new Client(nodes, group, scheduler, timeline, mix, options.seed());
+    }
+
     private void startDeployment() {
         callers.start();
         driverDelay.start();
         workers.start(options.workers(), DeploymentConfig.pools());
+        list.start();
         try {
             createNodes();
         } catch (IOException e) {
@@ -158,6 +168,7 @@
                                 .map(n -> "127.0.0.1:" + n.callersAddress().getPort())
                                 .toList()));
         nodes.all().forEach(NodeProcess::start);
+        scheduler.every(RELAY_CHECK_MILLIS, () -> relayProxies.forEach(RelayProxy::applyFaults));
         logScheduler.every(LOG_POLL_MILLIS, () -> nodes.all().forEach(NodeProcess::readLog));
         await("all nodes are ready", () -> nodes.all().stream().allMatch(this::isReady));
         await("a node owns the fleet", () -> nodes.owner().isPresent());
@@ -171,7 +182,6 @@
                         troubleScheduler,
                         timeline,
                         this::onLogLine);
-        FreePorts ports = new FreePorts();
         List<NodeProcess> created = new ArrayList<>();
         for (int i = 0; i < options.nodes(); i++) {
             String name = "node-" + (i + 1);
@@ -186,11 +196,19 @@
                             ports.next(NodeSettings.PORTS),
                             storeServer.address(),
                             listServer.address());
+            addRelayProxy(settings);
             created.add(new NodeProcess(settings, context));
         }
         nodes.add(created);
     }
 
+    private void addRelayProxy(NodeSettings settings) {
+        InetSocketAddress relay = new InetSocketAddress("127.0.0.1", settings.relayPort());
+        RelayProxy proxy = new RelayProxy(settings.name(), relay, group, callers, faults);
+        relayAddresses.add(settings.name(), proxy.port());
+        relayProxies.add(proxy);
+    }
+
     private void playTroubles() {
         Parts parts =
                 new Parts(
@@ -202,11 +220,13 @@
                         contact,
                         timeline);
         List<Trouble> troubles =
-                TroublePlan.draw(
-                        options.seed(),
-                        options.seconds() * 1_000,
-                        options.nodes(),
-                        options.workers());
+                options.scenario()
+                        .plan()
+                        .draw(
+                                options.seed(),
+                                options.seconds() * 1_000,
+                                options.nodes(),
+                                options.workers());
         new TroublePlayer(parts, troubleScheduler).play(troubles);
     }
 
@@ -312,6 +332,8 @@
         workers.stop();
         storeServers.values().forEach(WireServer::stop);
         listServers.forEach(WireServer::stop);
+        relayProxies.forEach(RelayProxy::stop);
+        ports.stop();
         group.shutdownGracefully();
         timeline.stop();
     }
