Await the end of a term by its fence in OwnerErrorsTest

The test asked every 5 ms whether the node was the owner, missed the gap and gave up after 20 s.

It now waits until the node has no term or one with another fence, which is as strict: each term has a fence of its own.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerErrorsTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/OwnerErrorsTest.java
@@ -99,10 +99,11 @@
     void leavesTheFleetToAnotherInstanceIfItsReaderStops() {
         Node first = new Node("node-1");
         runFirstJob();
+        long fence = fenceOf(first);
         silent.set(true);
         submit(job(LATER_JOB));
         submit(job(LAST_JOB));
-        await("the end of the term", () -> !first.owner.isOwner());
+        await("the end of the term", () -> fenceOf(first) != fence);
         silent.set(false);
         first.kill();
 
@@ -110,4 +111,9 @@
         await("the takeover", () -> worker.startsOf(LAST_TASK) == 1);
         second.stop();
     }
+
+    /** The fence of the node's term, which no other term has; 0 if it is not the owner. */
+    private long fenceOf(Node node) {
+        return onLoop(() -> node.owner.term().map(OwnerTerm::fence).orElse(0L));
+    }
 }
