--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -285,8 +285,8 @@
                         && (!unresponsive || reportApplied && registered);
         long leaseUntilClockMillis = extending ? lease.extend(sentMillis) : 0;
         // Does not wait for new finished runs while some are unacknowledged, because the worker
-        // would list those again at once, nor after a silence, because the worker may have
-        // restarted, which has to be known soon.
+        // would list those again at once, nor while the worker may have restarted, which has to be
+        // known soon.
         long pauses = term.pauses();
         boolean mayHaveRestarted = mayHaveRestarted(pauses);
         boolean longPoll =
