Apply the cuts of the soak's relay proxy on the event loop

The proxy stopped reading from the thread of its caller, while a read that the event loop had begun still passed.

The proxy now stops reading on the event loop and waits for it.

--- a/standin/src/main/java/org/quetzalscale/standin/soak/RelayProxy.java
+++ b/standin/src/main/java/org/quetzalscale/standin/soak/RelayProxy.java
@@ -9,7 +9,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.quetzalscale.net.TcpListeners;
@@ -57,9 +60,14 @@
         return TcpListeners.port(listener);
     }
 
-    /** Applies the present faults to all links; a cut takes effect with the next call. */
+    /**
+     * Applies the present faults to all links. On return nothing passes that was cut. Not for event
+     * loops, because it waits for them.
+     */
     void applyFaults() {
-        links.forEach(this::applyFaults);
+        List<Future<?>> applied = new ArrayList<>();
+        links.forEach(link -> applied.addAll(applyFaults(link)));
+        applied.forEach(Future::syncUninterruptibly);
     }
 
     /** Closes the listener and all links. */
@@ -99,10 +107,14 @@
         applyFaults(link);
     }
 
-    private void applyFaults(Link link) {
+    private List<Future<?>> applyFaults(Link link) {
         boolean passes = !faults.isCut(node, link.caller());
-        link.inbound().config().setAutoRead(passes);
-        link.outbound().config().setAutoRead(passes);
+        return List.of(setReading(link.inbound(), passes), setReading(link.outbound(), passes));
+    }
+
+    /** On another thread than the event loop, a read that has begun would still pass. */
+    private static Future<?> setReading(Channel channel, boolean reading) {
+        return channel.eventLoop().submit(() -> channel.config().setAutoRead(reading));
     }
 
     /** A node without a process refuses its callers. */
