Remove repetitions from the tests of siblings and steps, and split a condition of PoolBalancer

SiblingDirectoryTest built its table and directory three times, Samples a step twice. PoolBalancer told a move that the worker's report contradicts by a condition with a comment; it is a method with a doc comment now.

--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
@@ -110,19 +110,18 @@
                 continue;
             }
             boolean unmoved =
-                    move.worker != null
-                            && instance.up()
-                            && instance.worker().filter(move.worker::equals).isPresent();
-            if (!unmoved
-                    && move.worker != null
-                    && scheduler.hasReportedAfter(move.worker, move.confirmedMillis)) {
-                // The list lags, and shows an earlier move.
+                    instance.up()
+                            && instance.worker().filter(id -> id.equals(move.worker)).isPresent();
+            if (!unmoved && hasReportedSince(move)) {
                 continue;
             }
             pendingMoves.remove(instance.id());
+            if (move.worker == null) {
+                continue;
+            }
             if (unmoved) {
                 setCordoned(move.worker, false);
-            } else if (move.worker != null) {
+            } else {
                 scheduler.removeWorker(move.worker, nowMillis);
                 endedWorkers.add(move.worker);
             }
@@ -130,6 +129,14 @@
         return endedWorkers;
     }
 
+    /**
+     * Whether the worker reports although its move was answered as done. An earlier owner's order
+     * was carried out before then, and a list that shows the move lags.
+     */
+    private boolean hasReportedSince(PendingMove move) {
+        return move.worker != null && scheduler.hasReportedAfter(move.worker, move.confirmedMillis);
+    }
+
     /** Whether a new list is needed to learn the effect of a move. */
     public boolean needsInstanceList() {
         return pendingMoves.values().stream()
--- a/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/Samples.java
@@ -138,31 +138,21 @@
     }
 
     static StepDefinition step(int count, double cores, Integer... after) {
-        return new StepDefinition(
-                count,
-                new Resources(cores, 100, 0, 0),
-                500,
-                List.of(after),
-                false,
-                false,
-                false,
-                Optional.empty(),
-                Optional.empty(),
-                0,
-                false,
-                0,
-                false,
-                0);
+        return step(count, cores, 500, List.of(after));
     }
 
     /** A step whose tasks declare the given run time. */
     static StepDefinition declared(int count, long estimateMillis) {
-        StepDefinition step = step(count, 1);
+        return step(count, 1, estimateMillis, List.of());
+    }
+
+    private static StepDefinition step(
+            int count, double cores, long estimateMillis, List<Integer> after) {
         return new StepDefinition(
                 count,
-                step.need(),
+                new Resources(cores, 100, 0, 0),
                 estimateMillis,
-                List.of(),
+                after,
                 false,
                 false,
                 false,
--- a/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/relay/SiblingDirectoryTest.java
@@ -30,6 +30,7 @@
 
 final class SiblingDirectoryTest {
     private final EventLoopGroup group = EventLoops.create(1, "test");
+    private final TimeSource time = TimeSource.system();
 
     /** A table that holds the given rows. */
     private record FixedRows(List<Row> rows) implements FeedTable {
@@ -68,6 +69,25 @@
         return new Row(new RowKey("nodes/fleet/" + name), 1, value);
     }
 
+    private RelayedTable relayed(FeedTable direct) {
+        return new RelayedTable(
+                direct,
+                group.next(),
+                time,
+                new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
+    }
+
+    /** The directory of a weak instance. */
+    private SiblingDirectory directory(RelayedTable table, OwnerPreference preference) {
+        return new SiblingDirectory(
+                new InstanceId("node-1"),
+                new InetSocketAddress("127.0.0.1", 1),
+                0.36,
+                table,
+                new LoopClock(group.next(), time, System::currentTimeMillis),
+                preference);
+    }
+
     /**
      * Guards against a reader of siblings that ends at a row of another format or with an invalid
      * name, and against a weak instance that does not learn of a strong one.
@@ -82,22 +102,7 @@
                                 row("no name!", "127.0.0.1:2:8"),
                                 row("node-3", "127.0.0.1:3"),
                                 row("node-4", "127.0.0.1:4:1.5")));
-        TimeSource time = TimeSource.system();
-        LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
-        RelayedTable table =
-                new RelayedTable(
-                        rows,
-                        group.next(),
-                        time,
-                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
-        SiblingDirectory directory =
-                new SiblingDirectory(
-                        new InstanceId("node-1"),
-                        new InetSocketAddress("127.0.0.1", 1),
-                        0.36,
-                        table,
-                        clock,
-                        preference);
+        SiblingDirectory directory = directory(relayed(rows), preference);
 
         group.next().submit(directory::start).get();
 
@@ -110,22 +115,7 @@
     void readsSiblingsWithIpv6Addresses() throws Exception {
         OwnerPreference preference = new OwnerPreference(0.36);
         FixedRows rows = new FixedRows(List.of(row("node-4", "0:0:0:0:0:0:0:1:4:1.5")));
-        TimeSource time = TimeSource.system();
-        LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
-        RelayedTable table =
-                new RelayedTable(
-                        rows,
-                        group.next(),
-                        time,
-                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
-        SiblingDirectory directory =
-                new SiblingDirectory(
-                        new InstanceId("node-1"),
-                        new InetSocketAddress("127.0.0.1", 1),
-                        0.36,
-                        table,
-                        clock,
-                        preference);
+        SiblingDirectory directory = directory(relayed(rows), preference);
 
         group.next().submit(directory::start).get();
 
@@ -139,21 +129,13 @@
      */
     @Test
     void knowsNoLeaseViewsWhileTheRowOfASiblingIsUnreadable() throws Exception {
-        TimeSource time = TimeSource.system();
-        LoopClock clock = new LoopClock(group.next(), time, System::currentTimeMillis);
         FixedRows none = new FixedRows(List.of());
-        RelayedTable siblingTable =
-                new RelayedTable(
-                        none,
-                        group.next(),
-                        time,
-                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
         RelayServer sibling =
                 RelayServer.of(
                         new InetSocketAddress("127.0.0.1", 0),
                         group,
                         none,
-                        siblingTable,
+                        relayed(none),
                         () -> new LeaseRow("node-1", 1));
         sibling.start();
         FixedRows rows =
@@ -161,20 +143,8 @@
                         List.of(
                                 row("node-2", "127.0.0.1:" + sibling.port() + ":1"),
                                 row("node-3", "of another format")));
-        RelayedTable table =
-                new RelayedTable(
-                        rows,
-                        group.next(),
-                        time,
-                        new RelayedTable.Limits(new CallRetryBudget(), Set.of(), () -> {}));
-        SiblingDirectory directory =
-                new SiblingDirectory(
-                        new InstanceId("node-1"),
-                        new InetSocketAddress("127.0.0.1", 1),
-                        1,
-                        table,
-                        clock,
-                        new OwnerPreference(1));
+        RelayedTable table = relayed(rows);
+        SiblingDirectory directory = directory(table, new OwnerPreference(1));
         group.next().submit(directory::start).get();
 
         CompletableFuture<Optional<List<LeaseView>>> views = new CompletableFuture<>();
