--- a/review/standin-2/Cloud.java
+++ b/review/standin-2/Cloud.java
@@ -65,6 +65,12 @@
         states.put(worker.machine, "down");
     }
 
+    /** The worker's machine loses its power. */
+    synchronized void darken(Worker worker) {
+        worker.loseThePower();
+        states.put(worker.machine, "down");
+    }
+
     synchronized void begin(Worker worker, String id) {
         worker.begin(id);
         states.put(worker.machine, "up");
--- a/review/standin-2/Http.java
+++ b/review/standin-2/Http.java
@@ -7,7 +7,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -60,12 +62,21 @@
      */
     static final class Server {
         private final Handler handler;
+        private final int queue;
         private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
         private volatile boolean open;
+        private volatile boolean dark;
+        private final List<Socket> fillers = new ArrayList<>();
         private int port;
 
         Server(Handler handler) {
+            this(handler, MAX_QUEUE);
+        }
+
+        /** Creates a server with a queue of connections that nobody has taken yet. */
+        Server(Handler handler, int queue) {
             this.handler = handler;
+            this.queue = queue;
         }
 
         int port() {
@@ -79,11 +90,12 @@
         synchronized void start() {
             open = true;
             if (port != 0) {
+                light();
                 return;
             }
             try {
                 ServerSocket socket = new ServerSocket();
-                socket.bind(new InetSocketAddress(LOOPBACK, 0), MAX_QUEUE);
+                socket.bind(new InetSocketAddress(LOOPBACK, 0), queue);
                 port = socket.getLocalPort();
                 daemon("listen-" + port, () -> accept(socket));
             } catch (IOException e) {
@@ -91,6 +103,37 @@
             }
         }
 
+        /**
+         * The machine loses its power: open connections stay silent, and new ones hang, since the
+         * queue of connections is full and nobody takes from it.
+         */
+        synchronized void darken() {
+            open = false;
+            dark = true;
+            for (int i = 0; i <= queue + 1; i++) {
+                Socket filler = new Socket();
+                fillers.add(filler);
+                daemon("fill-" + port, () -> connect(filler));
+            }
+        }
+
+        private void connect(Socket filler) {
+            try {
+                filler.connect(new InetSocketAddress(LOOPBACK, port));
+            } catch (IOException e) {
+                // It is closed as the power returns.
+            }
+        }
+
+        /** The power returns: what was open before is reset. */
+        private void light() {
+            dark = false;
+            fillers.forEach(Http::reset);
+            fillers.clear();
+            connections.forEach(Http::reset);
+            connections.clear();
+        }
+
         /** Ends the server: all connections are reset, and new ones are. */
         synchronized void stop() {
             open = false;
@@ -103,6 +146,9 @@
         private void accept(ServerSocket socket) {
             try {
                 while (true) {
+                    while (dark) {
+                        Worker.sleep(5);
+                    }
                     Socket connection = socket.accept();
                     if (!open) {
                         reset(connection);
@@ -126,6 +172,9 @@
                         return;
                     }
                     Reply reply = handler.handle(request);
+                    if (dark) {
+                        reply = Reply.SILENT;
+                    }
                     if (reply == Reply.RESET) {
                         reset(connection);
                         return;
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -16,6 +16,7 @@
     private static final int MAX_WAIT_MILLIS = 2_000;
     private static final int MAX_ENDS = 500;
     private static final int STOP_MILLIS = 100;
+    private static final int QUEUE = 16;
     private static final int RESTORE_MILLIS = 600;
     private static final int HEARTBEAT_MILLIS = 1_500;
     private static final int MISSED_HEARTBEATS = 3;
@@ -80,7 +81,7 @@
     private final Needs needs;
     private final List<Run> runs;
     private final String zone;
-    private final Http.Server server = new Http.Server(this::handle);
+    private volatile Http.Server server = new Http.Server(this::handle, QUEUE);
     private final Map<String, Running> running = new LinkedHashMap<>();
     private final Map<String, Long> highestEnded = new HashMap<>();
     private final List<End> ends = new ArrayList<>();
@@ -146,6 +147,15 @@
 
     /** The process of the worker ends at once, with all that it runs. */
     void crash() {
+        end(false);
+    }
+
+    /** The machine loses its power: as a crash, but its connections stay silent. */
+    void loseThePower() {
+        end(true);
+    }
+
+    private void end(boolean dark) {
         synchronized (this) {
             if (!up) {
                 return;
@@ -154,11 +164,15 @@
             for (Running each : running.values()) {
                 finish(each.run, "gone");
             }
-            record.add("worker %s crashes with %d runs", id, running.size());
+            record.add("worker %s %s with %d runs", id, dark ? "loses its power" : "crashes", running.size());
             running.clear();
             notifyAll();
         }
-        server.stop();
+        if (dark) {
+            server.darken();
+        } else {
+            server.stop();
+        }
         String ended = id;
         // Its entry is removed after three heartbeats of silence.
         Http.daemon(
@@ -178,6 +192,11 @@
         record.add("worker %s %s", id, isCut ? "is cut off" : "is reached again");
     }
 
+    /** The next life of the worker has another address; the former one stays dark. */
+    void takeNewAddress() {
+        server = new Http.Server(this::handle, QUEUE);
+    }
+
     synchronized String id() {
         return id;
     }
@@ -275,6 +294,7 @@
 
     private synchronized Http.Reply carryOut(Http.Request request) throws InterruptedException {
         if (!up) {
+            // Without power, the server answers nothing instead.
             return Http.Reply.RESET;
         }
         String expected = request.header("x-expect-instance");
