Record the progress of a large job in several rows

Cause: the progress of a job is one row of the store, which takes 64 KiB. The store answered 400 to 76,953 bytes; the client had no kind of error for a refusal for good, and the recorder repeated the transaction, with which all other jobs wait, every 50 ms. Nothing was acknowledged, and workers list 500 unacknowledged ends at most.

A record that exceeds a row is split by ranges of 64 tasks, in an order that shows a new owner each recorded end. A rejection is an error of its own: the transaction is written row by row, and only the job with the rejected row is postponed. Of the same kind, by the code: a definition beyond a row is refused with its limit, a rejected submission fails alone, and the figures of the load are left out of a row that is too small for them.

--- a/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
+++ b/core/src/main/java/org/quetzalscale/core/error/ErrorKind.java
@@ -74,6 +74,8 @@
     LEASE_LOST(409, RunState.NOT_RUN, false),
     /** The platform's store may have accepted the operation. */
     STORE_OUTCOME_UNKNOWN(503, RunState.UNKNOWN, true),
+    /** The platform's store refuses the operation for good, since it is too large or invalid. */
+    STORE_REJECTED(503, RunState.NOT_RUN, false),
     /** The instance is in graceful shutdown. */
     SHUTTING_DOWN(503, RunState.NOT_RUN, true),
     /** The deadline passed, or cannot be met, before the work started. */
--- a/core/src/main/java/org/quetzalscale/core/table/TransactionalTable.java
+++ b/core/src/main/java/org/quetzalscale/core/table/TransactionalTable.java
@@ -8,9 +8,9 @@
  * The platform's transactional table: a key-value store with conditional multi-row commits.
  *
  * <p>Stages fail with a {@link org.quetzalscale.core.error.QuetzalscaleException} of kind
- * STORE_UNAVAILABLE if nothing took effect, or STORE_OUTCOME_UNKNOWN if the response to a commit
- * was lost. In the latter case the caller must read the rows before it retries, because the commit
- * may have taken effect.
+ * STORE_UNAVAILABLE if nothing took effect, STORE_REJECTED if nothing took effect and no repetition
+ * will, or STORE_OUTCOME_UNKNOWN if the response to a commit was lost. In the last case the caller
+ * must read the rows before it retries, because the commit may have taken effect.
  */
 public interface TransactionalTable {
     /** Reads one row as of the latest commit. */
@@ -21,4 +21,9 @@
 
     /** Applies all mutations if all conditions hold, else none. */
     CompletionStage<CommitResult> commit(Transaction transaction);
+
+    /** What the table takes at most. */
+    default TableLimits limits() {
+        return TableLimits.DEFAULT;
+    }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetMetrics.java
@@ -63,6 +63,10 @@
             counter(
                     "quetzalscale_fleet_refused_relays_total",
                     "Calls sent through a sibling that the store refused as well");
+    private final Counter rejectedRecords =
+            counter(
+                    "quetzalscale_fleet_rejected_records_total",
+                    "Rows of progress that the store rejected for good, by the owner");
     private final Counter reservations =
             counter(
                     "quetzalscale_fleet_reservations_total",
@@ -150,6 +154,11 @@
         refusedRelays.inc();
     }
 
+    /** Counts a row of progress that the store rejected for good. */
+    public void recordRejected() {
+        rejectedRecords.inc();
+    }
+
     /** Counts an order by its answer. */
     public void order(String order, String answer) {
         orders.labelValues(order, answer).inc();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/FleetRows.java
@@ -62,6 +62,7 @@
     private static final int SEGMENTS = 3;
     private static final String CANCEL_SUFFIX = "/cancel";
     private static final String UNREADABLE_SUFFIX = "/unreadable";
+    private static final String RANGE_PREFIX = "/tasks/";
 
     private FleetRows() {}
 
@@ -97,13 +98,28 @@
         return new RowKey(PROGRESS_PREFIX + id + UNREADABLE_SUFFIX);
     }
 
+    /**
+     * A range of tasks of a step, whose progress is in a row beside the job's.
+     *
+     * @param main the job's row of progress
+     */
+    static RowKey progressOfTasks(RowKey main, int occurrence, int step, int range) {
+        return new RowKey(main + RANGE_PREFIX + occurrence + "." + step + "." + range);
+    }
+
+    /** The job's row of progress to which a row belongs; the row itself if it is that one. */
+    static RowKey mainProgress(RowKey key) {
+        int range = key.value().indexOf(RANGE_PREFIX, PROGRESS_PREFIX.length());
+        return range < 0 ? key : new RowKey(key.value().substring(0, range));
+    }
+
     /**
      * The job that a row of progress belongs to.
      *
      * @throws QuetzalscaleException INVALID_FIELD if the key names no job
      */
     static JobId jobOfProgress(RowKey key) {
-        String name = key.value().substring(PROGRESS_PREFIX.length());
+        String name = mainProgress(key).value().substring(PROGRESS_PREFIX.length());
         return new JobId(
                 name.endsWith(UNREADABLE_SUFFIX)
                         ? name.substring(0, name.length() - UNREADABLE_SUFFIX.length())
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobGateway.java
@@ -17,6 +17,7 @@
 import org.quetzalscale.core.table.FeedTable;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.TableLimits;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
@@ -78,19 +79,34 @@
 
     /**
      * Records a job, unless it is already recorded. The stage fails with JOB_CANCELLED if the job
-     * was cancelled before it was recorded.
+     * was cancelled before it was recorded, and with INVALID_FIELD if its definition exceeds a row
+     * of the store.
      *
      * @param deadlineMillis when the caller stops waiting, on the monotonic clock
      */
     public CompletionStage<Void> submit(JobDefinition job, long deadlineMillis) {
         long now = clock.nowMillis();
+        String text = JobRowCodecs.DEFINITION.encode(job);
+        if (!table.limits().fitsRow(text)) {
+            return CompletableFuture.failedFuture(tooLarge(text));
+        }
         return submissions.insert(
                 FleetRows.job(job.id()),
-                JobRowCodecs.DEFINITION.encode(job),
+                text,
                 Math.min(deadlineMillis, now + MAX_RETRY_MILLIS),
                 Math.max(deadlineMillis, now + MIN_RESPONSE_MILLIS));
     }
 
+    private QuetzalscaleException tooLarge(String text) {
+        return new QuetzalscaleException(
+                ErrorKind.INVALID_FIELD,
+                "steps",
+                "spec and steps take "
+                        + TableLimits.bytes(text)
+                        + " bytes to store, expected at most "
+                        + table.limits().rowBytes());
+    }
+
     /** The state of a job; empty if there is no such job. */
     public CompletionStage<Optional<JobPhase>> phase(JobId id, long deadlineMillis) {
         return retry(() -> table.read(FleetRows.progress(id)), deadlineMillis)
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -152,13 +152,26 @@
                 node.path("maxUnavailable").asInt());
     }
 
-    private static ObjectNode writeProgress(JobProgress progress) {
+    /**
+     * Encodes the row of a job whose steps are in rows of their own. An earlier release cannot read
+     * it, and holds the job instead of starting it from the beginning.
+     */
+    static String encodeWithoutSteps(JobProgress progress) {
+        return writeJobProgress(progress).put("split", true).toString();
+    }
+
+    private static ObjectNode writeJobProgress(JobProgress progress) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put("id", progress.job().value());
         node.put("phase", progress.phase().name());
         if (!progress.doneOccurrences().isEmpty()) {
             putBits(node, "doneOccurrences", progress.doneOccurrences());
         }
+        return node;
+    }
+
+    private static ObjectNode writeProgress(JobProgress progress) {
+        ObjectNode node = writeJobProgress(progress);
         ArrayNode steps = node.putArray("steps");
         for (StepProgress step : progress.steps()) {
             ObjectNode entry = steps.addObject();
@@ -178,7 +191,8 @@
 
     private static JobProgress readProgress(JsonNode node) {
         List<StepProgress> steps = new ArrayList<>();
-        for (JsonNode entry : requiredList(node, "steps")) {
+        boolean split = node.path("split").asBoolean();
+        for (JsonNode entry : split ? node.path("steps") : requiredList(node, "steps")) {
             Map<Integer, String> checkpoints = new HashMap<>();
             entry.path("checkpoints")
                     .fields()
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/MeasuredTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/MeasuredTable.java
@@ -11,6 +11,7 @@
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.RowSnapshot;
+import org.quetzalscale.core.table.TableLimits;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.time.TimeSource;
 
@@ -55,6 +56,11 @@
         return measured("feed", table.changesAfter(name, version, waitMillis));
     }
 
+    @Override
+    public TableLimits limits() {
+        return table.limits();
+    }
+
     private <T> CompletionStage<T> measured(String call, CompletionStage<T> stage) {
         long startMillis = time.nowMillis();
         return stage.whenComplete(
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -132,6 +132,7 @@
                         lease.fence(),
                         scheduler,
                         sessions,
+                        context.metrics(),
                         endedJobs::add,
                         onFenced);
         this.waitingCounts = new WaitingCounts(context, lease.fence(), this, overview);
@@ -288,7 +289,9 @@
         if (ended || scheduling) {
             return;
         }
-        addJobs(jobs, 0, RecordedProgress.of(progressRows));
+        RecordedProgress recorded = RecordedProgress.of(progressRows);
+        recorder.addRecorded(recorded);
+        addJobs(jobs, 0, recorded);
     }
 
     /**
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRecorder.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.quetzalscale.core.error.ErrorKind;
 import org.quetzalscale.core.error.QuetzalscaleException;
 import org.quetzalscale.core.id.JobId;
 import org.quetzalscale.core.schedule.FleetScheduler;
@@ -12,6 +13,7 @@
 import org.quetzalscale.core.table.Condition;
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
+import org.quetzalscale.core.table.TableLimits;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.table.TransactionalTable;
 import org.quetzalscale.core.task.JobProgress;
@@ -23,40 +25,31 @@
  * finished runs to their workers. Each write requires that the owner's lease has not been taken,
  * and that no other write was committed in between: a write without an answer may be carried out
  * seconds later, and would overwrite newer progress.
+ *
+ * <p>Ends of a job whose rows the table rejects are acknowledged without a record: workers list few
+ * unacknowledged ends, and would soon list none of the other jobs.
  */
 final class ProgressRecorder {
-    /** The store takes at most 100 entries in a transaction. */
-    private static final int MAX_ROWS = 80;
-
     private static final long RETRY_DELAY_MILLIS = 50;
     private static final long UNKNOWN_VERSION = -1;
 
     /**
-     * The rows of one transaction.
+     * One transaction.
      *
-     * @param fromIndex index of the first changed job that it writes
-     * @param transactionName identifies the transaction, to find out whether it was committed
+     * @param name identifies the transaction, to find out whether it was committed
      * @param seenCursors finished runs that may be acknowledged once all changed jobs are written
      */
     private record Batch(
-            List<JobProgress> changed,
-            int fromIndex,
-            String transactionName,
-            Map<WorkerSession, Cursor> seenCursors) {
-        int toIndex() {
-            return Math.min(changed.size(), fromIndex + MAX_ROWS);
-        }
-
-        List<JobProgress> jobs() {
-            return changed.subList(fromIndex, toIndex());
-        }
-    }
+            List<ProgressQueue.Entry> rows, String name, Map<WorkerSession, Cursor> seenCursors) {}
 
     private final TransactionalTable table;
     private final LoopClock clock;
     private final Condition fence;
     private final FleetScheduler scheduler;
     private final Map<?, WorkerSession> sessions;
+    private final FleetMetrics metrics;
+    private final ProgressRows progressRows;
+    private final ProgressQueue queue;
     private final Consumer<JobId> onJobEnded;
     private final Runnable onFenced;
     private boolean writing;
@@ -70,6 +63,7 @@
             Condition fence,
             FleetScheduler scheduler,
             Map<?, WorkerSession> sessions,
+            FleetMetrics metrics,
             Consumer<JobId> onJobEnded,
             Runnable onFenced) {
         this.table = table;
@@ -77,6 +71,9 @@
         this.fence = fence;
         this.scheduler = scheduler;
         this.sessions = sessions;
+        this.metrics = metrics;
+        this.progressRows = new ProgressRows(table.limits());
+        this.queue = new ProgressQueue(progressRows, this::rowOf);
         this.onJobEnded = onJobEnded;
         this.onFenced = onFenced;
     }
@@ -85,6 +82,25 @@
         stopped = true;
     }
 
+    /**
+     * Adds the rows of jobs that earlier owners recorded by ranges of tasks. Those of jobs that
+     * have ended are deleted.
+     */
+    void addRecorded(RecordedProgress recorded) {
+        recorded.ranges()
+                .forEach(
+                        (main, ranges) -> {
+                            Optional<JobProgress> ended =
+                                    recorded.of(FleetRows.jobOfProgress(main))
+                                            .filter(progress -> progress.phase().isFinal());
+                            if (ended.isPresent()) {
+                                queue.addObsolete(ended.get(), ranges);
+                            } else {
+                                progressRows.addRecorded(main, ranges);
+                            }
+                        });
+    }
+
     /** Writes the changed jobs. If a write is in progress, the next one follows it. */
     void flush() {
         if (writing || stopped) {
@@ -92,18 +108,26 @@
         }
         Map<WorkerSession, Cursor> seenCursors = new LinkedHashMap<>();
         sessions.values().forEach(session -> seenCursors.put(session, session.seenCursor()));
-        if (!scheduler.hasChangedJobs()) {
+        long now = clock.nowMillis();
+        if (!scheduler.hasChangedJobs() && !queue.hasRows(now)) {
             seenCursors.forEach(WorkerSession::recordedUpTo);
             return;
         }
         writing = true;
-        write(scheduler.takeChangedJobs(), 0, seenCursors);
+        queue.add(scheduler.takeChangedJobs(), now);
+        writeNext(seenCursors);
     }
 
-    private void write(
-            List<JobProgress> changed, int fromIndex, Map<WorkerSession, Cursor> seenCursors) {
+    private void writeNext(Map<WorkerSession, Cursor> seenCursors) {
+        List<ProgressQueue.Entry> rows = queue.next();
+        if (rows.isEmpty()) {
+            writing = false;
+            seenCursors.forEach(WorkerSession::recordedUpTo);
+            flush();
+            return;
+        }
         lastBatch++;
-        attempt(new Batch(changed, fromIndex, fence.version() + ":" + lastBatch, seenCursors));
+        attempt(new Batch(rows, fence.version() + ":" + lastBatch, seenCursors));
     }
 
     /**
@@ -121,10 +145,8 @@
                 Transaction.builder()
                         .require(fence)
                         .require(new Condition(FleetRows.LAST_RECORD, lastRecordVersion))
-                        .put(FleetRows.LAST_RECORD, batch.transactionName());
-        for (JobProgress progress : batch.jobs()) {
-            transaction.put(rowOf(progress), JobRowCodecs.PROGRESS.encode(progress));
-        }
+                        .put(FleetRows.LAST_RECORD, batch.name());
+        batch.rows().forEach(row -> transaction.add(row.mutation()));
         table.commit(transaction.build())
                 .whenComplete(
                         (result, failure) ->
@@ -147,12 +169,7 @@
             return;
         }
         if (failure != null) {
-            Logger.warn(
-                    "event=record_failed rows={} cause=\"{}\"",
-                    batch.jobs().size(),
-                    QuetzalscaleException.from(failure).getMessage());
-            lastRecordVersion = UNKNOWN_VERSION;
-            clock.after(RETRY_DELAY_MILLIS, () -> attempt(batch));
+            commitFailed(batch, QuetzalscaleException.from(failure));
         } else if (result.isCommitted()) {
             lastRecordVersion = result.version();
             batchCommitted(batch);
@@ -164,6 +181,30 @@
         }
     }
 
+    private void commitFailed(Batch batch, QuetzalscaleException error) {
+        Logger.warn(
+                "event=record_failed rows={} kind={} cause=\"{}\"",
+                batch.rows().size(),
+                error.kind().code(),
+                error.getMessage());
+        if (error.kind() == ErrorKind.STORE_REJECTED) {
+            queue.rejected(batch.rows(), clock.nowMillis()).ifPresent(this::logRejected);
+            writeNext(batch.seenCursors());
+            return;
+        }
+        lastRecordVersion = UNKNOWN_VERSION;
+        clock.after(RETRY_DELAY_MILLIS, () -> attempt(batch));
+    }
+
+    private void logRejected(ProgressQueue.Entry row) {
+        metrics.recordRejected();
+        Logger.error(
+                "event=record_rejected job={} key={} bytes={}",
+                row.progress().job(),
+                row.mutation().key(),
+                TableLimits.bytes(row.mutation().value().orElse("")));
+    }
+
     /** Finds out whether an attempt without an answer was committed. */
     private void findLastRecord(Batch batch) {
         table.read(FleetRows.LAST_RECORD)
@@ -177,7 +218,7 @@
                                 return;
                             }
                             lastRecordVersion = row.map(Row::version).orElse(Condition.ABSENT);
-                            if (row.map(Row::value).equals(Optional.of(batch.transactionName()))) {
+                            if (row.map(Row::value).equals(Optional.of(batch.name()))) {
                                 batchCommitted(batch);
                             } else {
                                 attempt(batch);
@@ -186,18 +227,13 @@
     }
 
     private void batchCommitted(Batch batch) {
-        for (JobProgress progress : batch.jobs()) {
-            if (progress.phase().isFinal()) {
+        for (ProgressQueue.Entry row : batch.rows()) {
+            if (row.isEnd()) {
+                JobProgress progress = row.progress();
                 onJobEnded.accept(progress.job());
                 Logger.info("event=job_ended job={} phase={}", progress.job(), progress.phase());
             }
         }
-        if (batch.toIndex() < batch.changed().size()) {
-            write(batch.changed(), batch.toIndex(), batch.seenCursors());
-            return;
-        }
-        writing = false;
-        batch.seenCursors().forEach(WorkerSession::recordedUpTo);
-        flush();
+        writeNext(batch.seenCursors());
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/SubmissionBatcher.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/SubmissionBatcher.java
@@ -60,6 +60,9 @@
         boolean inFlight;
         boolean maybeCommitted;
 
+        /** Whether it is sent without others, since the store rejected a transaction with it. */
+        boolean alone;
+
         Submission(RowKey key, String value, long retryUntilMillis) {
             this.key = key;
             this.cancellation = FleetRows.cancellation(key);
@@ -173,7 +176,8 @@
         while (waiting.hasNext() && batch.size() < MAX_SUBMISSIONS) {
             Submission next = waiting.next();
             bytes += next.bytes();
-            if (!batch.isEmpty() && bytes > MAX_BYTES) {
+            boolean full = bytes > MAX_BYTES || next.alone;
+            if (!batch.isEmpty() && (full || batch.get(0).alone)) {
                 break;
             }
             if (keys.add(next.key)) {
@@ -189,8 +193,13 @@
         batch.forEach(submission -> submission.inFlight = false);
         partition.busy = false;
         if (failure != null) {
-            backoff.recordFailure(clock.nowMillis());
-            onFailure(partition, batch, QuetzalscaleException.from(failure));
+            QuetzalscaleException error = QuetzalscaleException.from(failure);
+            if (error.kind() == ErrorKind.STORE_REJECTED) {
+                onRejection(partition, batch, error);
+            } else {
+                backoff.recordFailure(clock.nowMillis());
+                onFailure(partition, batch, error);
+            }
         } else {
             backoff.recordSuccess();
             onResult(partition, batch, result);
@@ -223,6 +232,20 @@
                 "the job was cancelled before it was recorded, and never runs");
     }
 
+    /**
+     * Sends the submissions of a rejected transaction one at a time, so that only those fail that
+     * the store rejects.
+     */
+    private static void onRejection(
+            Partition partition, List<Submission> batch, QuetzalscaleException error) {
+        if (batch.size() == 1) {
+            fail(batch, error);
+            return;
+        }
+        batch.forEach(submission -> submission.alone = true);
+        putBack(partition, batch);
+    }
+
     private void onFailure(
             Partition partition, List<Submission> batch, QuetzalscaleException error) {
         long now = clock.nowMillis();
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WaitingCounts.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WaitingCounts.java
@@ -62,12 +62,15 @@
         }
     }
 
+    /** The figures are left out of a row that would exceed its size: the counts are needed more. */
     private String encode() {
         ObjectNode counts = JsonNodeFactory.instance.objectNode();
         scheduler.waitingJobs().forEach((queue, count) -> counts.put(queue.value(), count));
         LoadRow.writeJobMib(FleetMemory.toMib(scheduler.jobBytes()), counts);
+        String withoutFigures = counts.toString();
         load.observe(clock.nowMillis(), clock.epochMillis().getAsLong())
                 .ifPresent(figures -> LoadRow.write(figures, counts));
-        return counts.toString();
+        String text = counts.toString();
+        return context.table().limits().fitsRow(text) ? text : withoutFigures;
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/relay/RelayedTable.java
@@ -21,6 +21,7 @@
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.RowSnapshot;
 import org.quetzalscale.core.table.StoreRoute;
+import org.quetzalscale.core.table.TableLimits;
 import org.quetzalscale.core.table.Transaction;
 import org.quetzalscale.core.time.TimeSource;
 import org.tinylog.Logger;
@@ -175,6 +176,11 @@
         return send(routeForKey(key), key, table -> table.commit(transaction), false);
     }
 
+    @Override
+    public TableLimits limits() {
+        return direct.limits();
+    }
+
     private RouteEntry routeForKey(String key) {
         return routeEntry("part " + new RowKey(key).partition(), key);
     }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/InMemoryFeedTable.java
@@ -18,6 +18,7 @@
 import org.quetzalscale.core.table.Row;
 import org.quetzalscale.core.table.RowKey;
 import org.quetzalscale.core.table.RowSnapshot;
+import org.quetzalscale.core.table.TableLimits;
 import org.quetzalscale.core.table.Transaction;
 
 /** An in-memory table with a change feed, which a test can make unavailable. */
@@ -29,6 +30,9 @@
     private final List<ChangedRow> changes = new ArrayList<>();
     volatile boolean unavailable;
 
+    /** What the table declares to take; it takes more. */
+    volatile TableLimits limits = TableLimits.DEFAULT;
+
     /** Whether calls for changes get no answers. */
     volatile boolean feedSilent;
 
@@ -85,6 +89,11 @@
         return apply(transaction);
     }
 
+    @Override
+    public TableLimits limits() {
+        return limits;
+    }
+
     private static boolean writes(Transaction transaction, String prefix) {
         return transaction.mutations().stream()
                 .anyMatch(mutation -> mutation.key().value().startsWith(prefix));
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/JobGatewayTest.java
@@ -89,6 +89,10 @@
     }
 
     private CompletableFuture<Void> submit() {
+        return submit("");
+    }
+
+    private CompletableFuture<Void> submit(String spec) {
         JobDefinition job =
                 new JobDefinition(
                         JOB,
@@ -96,7 +100,7 @@
                         new PoolId("pool"),
                         Optional.empty(),
                         loop.nowMillis(),
-                        "",
+                        spec,
                         List.of(Steps.ending(1, 1, List.of())),
                         new Recurrence(0, 0, 0));
         return gateway.submit(job, deadlineMillis).toCompletableFuture();
@@ -182,4 +186,15 @@
             assertThat(errorOf(submission)).isEqualTo(ErrorKind.STORE_UNAVAILABLE);
         }
     }
+
+    /**
+     * Guards against a job that is refused without a reason, or repeated although it never fits.
+     */
+    @Test
+    void refusesAJobThatExceedsARow() {
+        int limit = table.limits().rowBytes();
+        CompletableFuture<Void> submission = submit("x".repeat(limit));
+        assertThat(errorOf(submission)).isEqualTo(ErrorKind.INVALID_FIELD);
+        assertThat(catchThrowable(submission::join)).hasMessageContaining("at most " + limit);
+    }
 }
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SubmissionBatcherTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SubmissionBatcherTest.java
@@ -263,4 +263,23 @@
             assertThat(sent).isEqualTo(10 + CallRetryBudget.MIN_RETRIES);
         }
     }
+
+    /** Guards against jobs that are refused because the store rejects another one (LOST). */
+    @Test
+    void recordsTheOthersOfARejectedTransaction() {
+        insert("first");
+        List<CompletableFuture<Void>> merged =
+                List.of("a", "b", "c").stream().map(this::insert).toList();
+        table.answer();
+        table.fail(ErrorKind.STORE_REJECTED, false);
+        table.answer();
+        table.fail(ErrorKind.STORE_REJECTED, false);
+        table.answer();
+
+        assertThat(merged.get(0)).isCompleted();
+        assertThat(errorOf(merged.get(1))).isEqualTo(ErrorKind.STORE_REJECTED);
+        assertThat(merged.get(2)).isCompleted();
+        assertThat(table.inFlight()).isZero();
+        assertThat(List.of("a", "b", "c")).filteredOn(this::isRecorded).containsExactly("a", "c");
+    }
 }
