Keep the attempts and caps under which a job was accepted

Cause: JobLifecycle took the attempts from the newest configuration, with a default of three if that has no such queue. Neither the job's row nor the owner kept what was declared at acceptance.

What the accepting configuration declares for the queue and the organisation is now a part of the job's definition (JobTerms) and of its row, so that a new owner knows it too. The attempts are always those of the acceptance. Of the same kind: priority and objective of a removed queue (ranked first by default), cap, weight and rate of a removed organisation (none by default).

--- a/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/Dispatcher.java
@@ -98,7 +98,7 @@
             if (job.held || job.progressUnreadable) {
                 continue;
             }
-            QueuePolicy queue = policy.queues().get(job.definition.queue());
+            QueuePolicy queue = policy.queueOf(job.definition);
             long due = job.definition.recurrence().count() == 0 ? job.acceptedMillis : nowMillis;
             for (StepRun step : job.stepsDueBy(epochMillis)) {
                 if (hasStartableTask(step, nowMillis) && isReadySoon(step, nowMillis)) {
@@ -210,9 +210,7 @@
         int permitted = 0;
         while (permitted < tasks
                 && fleet.usage.permits(
-                        policy,
-                        step.job.definition.organisation(),
-                        step.definition.need().times(permitted + 1))) {
+                        policy, step.job.definition, step.definition.need().times(permitted + 1))) {
             permitted++;
         }
         return permitted;
@@ -225,7 +223,7 @@
             TrackedTask task, PoolTurn turn, FleetPolicy policy, long nowMillis) {
         JobRun job = task.step.job;
         Resources need = task.step.definition.need();
-        if (!fleet.usage.permits(policy, job.definition.organisation(), need)) {
+        if (!fleet.usage.permits(policy, job.definition, need)) {
             return null;
         }
         WorkerState worker = turn.choose(task);
--- a/core/src/main/java/org/quetzalscale/core/schedule/ExcessMarks.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/ExcessMarks.java
@@ -28,6 +28,9 @@
     private final Map<JobId, RateHistory.Acceptance> jobs = new HashMap<>();
     private Map<OrganisationId, OrganisationPolicy> organisations = Map.of();
 
+    /** Rates under which jobs were accepted, for organisations that are no longer configured. */
+    private final Map<OrganisationId, Double> acceptedRates = new HashMap<>();
+
     /** Applies the rates of a configuration to all jobs. */
     void updatePolicy(FleetPolicy policy) {
         organisations = policy.organisations();
@@ -39,8 +42,9 @@
         if (job.organisation().isEmpty() || !counts(job) || jobs.containsKey(job.id())) {
             return;
         }
-        RateHistory history =
-                histories.computeIfAbsent(job.organisation().get(), this::createHistory);
+        OrganisationId organisation = job.organisation().get();
+        job.terms().ifPresent(terms -> acceptedRates.put(organisation, terms.rate()));
+        RateHistory history = histories.computeIfAbsent(organisation, this::createHistory);
         jobs.put(job.id(), history.add(job.acceptedEpochMillis(), job.id()));
     }
 
@@ -100,6 +104,6 @@
 
     private double rate(OrganisationId id) {
         OrganisationPolicy organisation = organisations.get(id);
-        return organisation == null ? 0 : organisation.rate();
+        return organisation == null ? acceptedRates.getOrDefault(id, 0.0) : organisation.rate();
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/ExcessRanking.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/ExcessRanking.java
@@ -48,7 +48,7 @@
                     (id, own) -> {
                         Resources before =
                                 fleet.usage.used(id).plus(planned.getOrDefault(id, Resources.NONE));
-                        ranked.addAll(byShare(own, before, capacity, weight(id, policy)));
+                        ranked.addAll(byShare(own, before, capacity, weight(own.get(0), policy)));
                     });
         }
         return ranked;
@@ -110,8 +110,10 @@
         return capacity;
     }
 
-    private static double weight(OrganisationId id, FleetPolicy policy) {
-        OrganisationPolicy organisation = policy.organisations().get(id);
-        return organisation == null || organisation.weight() <= 0 ? 1 : organisation.weight();
+    private static double weight(StepRanking.Candidate candidate, FleetPolicy policy) {
+        return policy.organisationOf(candidate.step().job.definition)
+                .map(OrganisationPolicy::weight)
+                .filter(weight -> weight > 0)
+                .orElse(1.0);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetOverview.java
@@ -216,8 +216,7 @@
         if (nowMillis < task.retryAtMillis) {
             return WaitReason.PAUSE;
         }
-        if (!fleet.usage.permits(
-                scheduler.policy(), job.definition.organisation(), task.step.definition.need())) {
+        if (!fleet.usage.permits(scheduler.policy(), job.definition, task.step.definition.need())) {
             return WaitReason.ORGANISATION_CAP;
         }
         Collection<WorkerState> workers = fleet.workersOf(job.definition.pool());
--- a/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/JobLifecycle.java
@@ -14,7 +14,6 @@
     private static final long STOP_RETRY_MILLIS = 400;
     private static final long LASTING_RETRY_MILLIS = 100;
     private static final long MAX_LASTING_RETRY_MILLIS = 800;
-    private static final int DEFAULT_MAX_ATTEMPTS = 3;
 
     private final FleetState fleet;
     private final OrderSender orders;
@@ -151,8 +150,7 @@
             return;
         }
         changed.add(job);
-        QueuePolicy queue = policy.get().queues().get(job.definition.queue());
-        int maxAttempts = queue == null ? DEFAULT_MAX_ATTEMPTS : queue.maxAttempts();
+        int maxAttempts = policy.get().queueOf(job.definition).maxAttempts();
         if (task.failures >= maxAttempts && !job.phase.isFinal()) {
             endJob(job, JobPhase.FAILED, nowMillis);
         }
--- a/core/src/main/java/org/quetzalscale/core/schedule/LoadObserver.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/LoadObserver.java
@@ -97,8 +97,8 @@
         if (coreSeconds > 0 && scheduler.excess().isExcess(job.definition.id())) {
             waiting.excess += coreSeconds;
         } else if (coreSeconds > 0) {
-            QueuePolicy queue = policy.queues().get(job.definition.queue());
-            waiting.within.merge(queue == null ? 0 : queue.priority(), coreSeconds, Double::sum);
+            int priority = policy.queueOf(job.definition).priority();
+            waiting.within.merge(priority, coreSeconds, Double::sum);
         }
         if (competesForAnyWorker(job, step, policy)) {
             waiting.startableCores += cores;
@@ -111,8 +111,7 @@
                 && !job.progressUnreadable
                 && step.definition.requiredLabel().isEmpty()
                 && job.isReady(step)
-                && fleet.usage.permits(
-                        policy, job.definition.organisation(), step.definition.need());
+                && fleet.usage.permits(policy, job.definition, step.definition.need());
     }
 
     /**
--- a/core/src/main/java/org/quetzalscale/core/schedule/OrganisationUsage.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/OrganisationUsage.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.quetzalscale.core.id.OrganisationId;
 import org.quetzalscale.core.share.Resources;
+import org.quetzalscale.core.task.JobDefinition;
 
 /** Resources that the running tasks of each organisation use, checked against its cap. */
 final class OrganisationUsage {
@@ -22,12 +23,13 @@
         return used.getOrDefault(organisation, Resources.NONE);
     }
 
-    /** Whether the organisation stays within its cap if it uses the given resources in addition. */
-    boolean permits(FleetPolicy policy, Optional<OrganisationId> organisation, Resources more) {
-        if (organisation.isEmpty()) {
-            return true;
-        }
-        OrganisationPolicy limits = policy.organisations().get(organisation.get());
-        return limits == null || limits.permits(used(organisation.get()).plus(more));
+    /**
+     * Whether the organisation of the job stays within its cap if it uses the given resources in
+     * addition.
+     */
+    boolean permits(FleetPolicy policy, JobDefinition job, Resources more) {
+        return policy.organisationOf(job)
+                .map(limits -> limits.permits(used(limits.id()).plus(more)))
+                .orElse(true);
     }
 }
--- a/core/src/main/java/org/quetzalscale/core/schedule/QueuePolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/QueuePolicy.java
@@ -21,6 +21,9 @@
         double stretch,
         long targetMillis,
         boolean open) {
+    /** The attempts of a queue that declares none. */
+    public static final int DEFAULT_MAX_ATTEMPTS = 3;
+
     /** Rejects null ids. */
     public QueuePolicy {
         Objects.requireNonNull(id, "id");
--- a/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/StepRanking.java
@@ -50,17 +50,15 @@
     }
 
     Candidate candidate(StepRun step, QueuePolicy queue, long dueMillis, long nowMillis) {
-        int priority = queue == null ? 0 : queue.priority();
+        int priority = queue.priority();
         if (step.definition.filler()) {
             return new Candidate(step, Rank.FILLER, priority, dueMillis);
         }
         if (step.definition.lasting()) {
             return new Candidate(step, Rank.LASTING, priority, dueMillis);
         }
-        double stretch = queue == null ? 1 : queue.stretch();
-        double target = queue == null ? 0 : queue.targetMillis();
-        double objective =
-                stretch * estimator.criticalPathMillis(step.job, step.occurrence) + target;
+        double path = estimator.criticalPathMillis(step.job, step.occurrence);
+        double objective = queue.stretch() * path + queue.targetMillis();
         double needed = estimator.remainingCriticalPathMillis(step.job, step.occurrence);
         double slack = dueMillis + objective - nowMillis - needed;
         if (slack >= 0) {
--- a/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
+++ b/core/src/main/java/org/quetzalscale/core/task/JobDefinition.java
@@ -17,6 +17,7 @@
  * @param acceptedEpochMillis when the job was accepted, in Unix milliseconds of the accepting
  *     process
  * @param spec text that is passed to the workers
+ * @param terms what the configuration declared; empty for a job that an earlier release accepted
  */
 public record JobDefinition(
         JobId id,
@@ -26,7 +27,8 @@
         long acceptedEpochMillis,
         String spec,
         List<StepDefinition> steps,
-        Recurrence recurrence) {
+        Recurrence recurrence,
+        Optional<JobTerms> terms) {
     /** Rejects null components and copies the steps. */
     public JobDefinition {
         Objects.requireNonNull(id, "id");
@@ -36,12 +38,49 @@
         Objects.requireNonNull(spec, "spec");
         steps = List.copyOf(steps);
         Objects.requireNonNull(recurrence, "recurrence");
+        Objects.requireNonNull(terms, "terms");
+    }
+
+    /** A job without terms. */
+    public JobDefinition(
+            JobId id,
+            QueueId queue,
+            PoolId pool,
+            Optional<OrganisationId> organisation,
+            long acceptedEpochMillis,
+            String spec,
+            List<StepDefinition> steps,
+            Recurrence recurrence) {
+        this(
+                id,
+                queue,
+                pool,
+                organisation,
+                acceptedEpochMillis,
+                spec,
+                steps,
+                recurrence,
+                Optional.empty());
+    }
+
+    /** This job with the terms under which it is accepted. */
+    public JobDefinition withTerms(JobTerms accepted) {
+        return new JobDefinition(
+                id,
+                queue,
+                pool,
+                organisation,
+                acceptedEpochMillis,
+                spec,
+                steps,
+                recurrence,
+                Optional.of(accepted));
     }
 
     /** This job without its text for workers, which a job that has ended no longer needs. */
     public JobDefinition withoutSpec() {
         return new JobDefinition(
-                id, queue, pool, organisation, acceptedEpochMillis, "", steps, recurrence);
+                id, queue, pool, organisation, acceptedEpochMillis, "", steps, recurrence, terms);
     }
 
     /** The number of tasks of one occurrence. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/JobRowCodecs.java
@@ -24,6 +24,7 @@
 import org.quetzalscale.core.task.JobDefinition;
 import org.quetzalscale.core.task.JobPhase;
 import org.quetzalscale.core.task.JobProgress;
+import org.quetzalscale.core.task.JobTerms;
 import org.quetzalscale.core.task.Recurrence;
 import org.quetzalscale.core.task.StepDefinition;
 import org.quetzalscale.core.task.StepProgress;
@@ -84,9 +85,41 @@
         putPositive(node, "repeat", job.recurrence().count());
         putPositive(node, "startAt", job.recurrence().startAtEpochMillis());
         putPositive(node, "interval", job.recurrence().intervalMillis());
+        job.terms().ifPresent(terms -> writeTerms(node.putObject("terms"), terms));
         return node;
     }
 
+    private static void writeTerms(ObjectNode node, JobTerms terms) {
+        node.put("priority", terms.priority());
+        node.put("attempts", terms.maxAttempts());
+        node.put("stretch", terms.stretch());
+        putPositive(node, "target", terms.targetMillis());
+        node.put("weight", terms.weight());
+        node.put("rate", terms.rate());
+        node.put("capCores", terms.cap().cores());
+        node.put("capMemory", terms.cap().memoryMib());
+        node.put("capAccelerators", terms.cap().accelerators());
+    }
+
+    private static Optional<JobTerms> readTerms(JsonNode node) {
+        if (!node.isObject()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new JobTerms(
+                        node.path("priority").asInt(),
+                        node.path("attempts").asInt(),
+                        node.path("stretch").asDouble(),
+                        node.path("target").asLong(),
+                        node.path("weight").asDouble(),
+                        node.path("rate").asDouble(),
+                        new Resources(
+                                node.path("capCores").asDouble(),
+                                node.path("capMemory").asDouble(),
+                                node.path("capAccelerators").asDouble(),
+                                0)));
+    }
+
     private static void writeStep(ObjectNode node, StepDefinition step) {
         node.put("count", step.count());
         node.put("cores", step.need().cores());
@@ -125,7 +158,8 @@
                 new Recurrence(
                         node.path("repeat").asInt(),
                         node.path("startAt").asLong(),
-                        node.path("interval").asLong()));
+                        node.path("interval").asLong()),
+                readTerms(node.path("terms")));
     }
 
     private static StepDefinition readStep(JsonNode node) {
