Balance the pools of accepted jobs whose queue is removed

The balancer knew the pools of the configured queues only. Jobs outlive their queue: their pool then got no instances, and a worker that was cordoned for a move stayed so, because nothing visited the pool again (LOST).

Pools with active jobs are balanced like those of queues. Both tests of PoolBalancerTest.RemovedQueues fail without the change.

--- a/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/PoolBalancer.java
@@ -224,6 +224,10 @@
         for (QueuePolicy queue : scheduler.policy().queues().values()) {
             balances.computeIfAbsent(queue.pool(), PoolBalance::new);
         }
+        // Jobs outlive their queue.
+        for (PoolId pool : scheduler.fleet().activePools()) {
+            balances.computeIfAbsent(pool, PoolBalance::new);
+        }
         for (FleetInstance instance : instances) {
             PendingMove move = pendingMoves.get(instance.id());
             PoolBalance balance = balances.get(move == null ? instance.pool() : move.order.pool());
--- a/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/PoolBalancerTest.java
@@ -86,6 +86,52 @@
                 .collect(Collectors.groupingBy(MoveOrder::pool, Collectors.counting()));
     }
 
+    /** Guards against accepted jobs that nobody runs once their queue is removed (LOST). */
+    @Nested
+    final class RemovedQueues {
+        private void removeQueueOfJobs() {
+            FleetPolicy before = policy();
+            Map<QueueId, QueuePolicy> queues = new HashMap<>(before.queues());
+            queues.remove(Samples.QUEUE);
+            scheduler.updatePolicy(
+                    new FleetPolicy(
+                            2,
+                            List.of(),
+                            queues,
+                            before.pools(),
+                            before.organisations(),
+                            Map.of()));
+        }
+
+        @Test
+        void keepTheirPoolSuppliedWhileItHasJobs() {
+            add(OTHER, 11, 4);
+            add(STANDBY, 21, 4);
+            add(Samples.job(1, Samples.step(40, 4)));
+            removeQueueOfJobs();
+
+            assertThat(byPool(planMoves())).containsKey(Samples.POOL);
+        }
+
+        @Test
+        void leaveNoWorkerOfTheirPoolOutOfUse() {
+            add(Samples.POOL, 1, 10);
+            add(OTHER, 11, 10);
+            add(Samples.job(1, Samples.step(10, 10)));
+            plan();
+            planMoves();
+            assertThat(scheduler.fleet().workersOf(Samples.POOL))
+                    .anyMatch(worker -> worker.cordoned);
+
+            removeQueueOfJobs();
+            add(Samples.job(2, Samples.step(200, 4)));
+            planMoves();
+
+            assertThat(scheduler.fleet().workersOf(Samples.POOL))
+                    .noneMatch(worker -> worker.cordoned);
+        }
+    }
+
     @Nested
     final class Bursts {
         /**
