Hold recovered jobs until the workers' lists of ends are whole

Cause: a worker lists 500 ends at a time. A new owner took a worker's runs for known after its first report, also if that had 500 ends, and started what was in no list. Absent means unknown until the list is whole.

The client of the workers tells whether a list is whole. Until it is, or the worker's lease is over, jobs of earlier terms are held and the worker's machine gets no upkeep. The rest is read as soon as the part before it is recorded, since it is listed only after that is acknowledged.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetScheduler.java
@@ -267,7 +267,7 @@
             return;
         }
         List.copyOf(worker.tasks.values()).forEach(task -> jobs.release(task, nowMillis));
-        worker.reported = false;
+        worker.forgetReports();
         if (!worker.registered) {
             fleet.removeWorker(worker);
         }
@@ -301,6 +301,15 @@
         return worker != null && worker.reported;
     }
 
+    /**
+     * Whether all runs that earlier owners started on the worker are known: it has reported in its
+     * current incarnation, and has listed all ends that were not acknowledged.
+     */
+    public boolean hasListedRuns(WorkerId id) {
+        WorkerState worker = fleet.workers.get(id);
+        return worker != null && worker.endsListed;
+    }
+
     /** Whether the worker is known and has reported to a call that was sent after the time. */
     boolean hasReportedAfter(WorkerId id, long sinceMillis) {
         WorkerState worker = fleet.workers.get(id);
@@ -313,10 +322,10 @@
         return poolPolicy != null && poolPolicy.standby();
     }
 
-    /** Whether at least one worker is known and every known worker has reported to this owner. */
-    public boolean allWorkersReported() {
+    /** Whether at least one worker is known and all runs of every known one are. */
+    public boolean allRunsListed() {
         return !fleet.workers.isEmpty()
-                && fleet.workers.values().stream().allMatch(worker -> worker.reported);
+                && fleet.workers.values().stream().allMatch(worker -> worker.endsListed);
     }
 
     /**
@@ -386,6 +395,7 @@
         worker.reportRequestedMillis = sentMillis;
         reportHandler.apply(worker, report, ends, sentMillis, nowMillis);
         worker.reported = true;
+        worker.endsListed |= report.allFinished();
         stallDetector.check(worker, nowMillis);
         paceControl.adjust(worker, nowMillis);
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/FormerRuns.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FormerRuns.java
@@ -5,15 +5,16 @@
  * may start. It answers a takeover while workers are cut off from the store, so that their entries
  * are missing, or do not respond.
  *
- * <p>A run is known once its worker has reported. It has ended once the worker's lease has expired.
- * Nothing else shows that a run has ended: a list that cannot be read may contain its worker.
+ * <p>A run is known once its worker has listed all its runs; a list of ends that is cut says
+ * nothing of those that follow. A run has ended once the worker's lease has expired. Nothing else
+ * shows that a run has ended: a list that cannot be read may contain its worker.
  *
  * @param workersCalled whether every worker with an entry has been called
- * @param entriesReported whether every worker with an entry has reported
+ * @param entriesReported whether every worker with an entry has listed its runs
  * @param instancesReported whether the list of instances is known and all {@link WorkersAtTakeover}
- *     have reported
+ *     have listed their runs
  * @param leasesExpired whether every lease that an earlier owner may have given to a worker has
- *     expired, but for workers that have reported
+ *     expired, but for workers that have listed their runs
  */
 public record FormerRuns(
         boolean workersCalled,
@@ -24,9 +25,9 @@
     public enum Verdict {
         /** A run of an earlier owner may still be running unnoticed. */
         HOLD,
-        /** All workers have reported. */
+        /** All workers have listed their runs. */
         REPORTED,
-        /** The runs on all workers that have not reported have ended with their leases. */
+        /** The runs on all workers that have not listed them have ended with their leases. */
         EXPIRED
     }
 
--- a/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/MaintenancePlanner.java
@@ -296,12 +296,12 @@
     }
 
     /**
-     * Whether all runs on the instance are known. A worker that has not reported to this owner may
-     * run tasks that an earlier owner started, and so appears to be idle.
+     * Whether all runs on the instance are known. A worker that has not listed them to this owner
+     * may run tasks that an earlier owner started, and so appears to be idle.
      */
     private boolean runsKnown(FleetInstance instance) {
         return !scheduler.fleet().recoveredJobsHeld
-                || instance.worker().stream().allMatch(scheduler::hasReported);
+                || instance.worker().stream().allMatch(scheduler::hasListedRuns);
     }
 
     private void startDrain(MaintenanceItem item, long nowMillis) {
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerIncarnations.java
@@ -28,7 +28,7 @@
         } else if (startedEpochMillis > worker.startedEpochMillis) {
             worker.heardMillis = nowMillis;
             worker.leftAsPlanned |= worker.entry.draining();
-            worker.reported = false;
+            worker.forgetReports();
             unansweredStarts.stopAll(worker.entry.id(), nowMillis);
         }
     }
@@ -48,7 +48,7 @@
         if (!known) {
             return;
         }
-        worker.reported = false;
+        worker.forgetReports();
         worker.health.reset();
         crashAttribution.recordCrash(worker, nowMillis);
         worker.leftAsPlanned = false;
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerReportHandler.java
@@ -11,12 +11,6 @@
 
 /** Updates tasks and runs from the reports of workers. */
 final class WorkerReportHandler {
-    /**
-     * Maximum number of ended runs in one report. A run that is missing from a full report may have
-     * ended without being listed.
-     */
-    private static final int MAX_REPORTED_ENDS = 500;
-
     private final FleetState fleet;
     private final OrderSender orders;
     private final JobLifecycle jobs;
@@ -49,7 +43,7 @@
             reportedTasks.add(running.task());
             applyRunning(worker, running, nowMillis);
         }
-        if (report.finished().size() < MAX_REPORTED_ENDS) {
+        if (report.allFinished()) {
             releaseMissing(worker, reportedTasks, sentMillis, nowMillis);
         }
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkerState.java
@@ -22,6 +22,12 @@
      */
     boolean reported;
 
+    /**
+     * Whether a report has listed all runs of earlier owners that had ended. Before, a task of an
+     * earlier owner that is in no list may have been done here.
+     */
+    boolean endsListed;
+
     /** Whether the platform lists the worker. */
     boolean registered = true;
 
@@ -96,6 +102,12 @@
         }
     }
 
+    /** Forgets that the worker has reported: what it runs is not known any more. */
+    void forgetReports() {
+        reported = false;
+        endsListed = false;
+    }
+
     boolean isUnresponsiveFor(long millis, long nowMillis) {
         return unresponsive && nowMillis - unresponsiveSinceMillis >= millis;
     }
--- a/core/src/main/java/org/quetzalscale/core/schedule/WorkersAtTakeover.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/WorkersAtTakeover.java
@@ -33,10 +33,10 @@
         return workers.isPresent();
     }
 
-    /** The workers that have not reported; empty if no list has been read. */
-    public List<WorkerId> unreported(Predicate<WorkerId> hasReported) {
+    /** The workers that have not listed their runs; empty if no list has been read. */
+    public List<WorkerId> unlisted(Predicate<WorkerId> hasListedRuns) {
         return workers.orElse(Set.of()).stream()
-                .filter(worker -> !hasReported.test(worker))
+                .filter(worker -> !hasListedRuns.test(worker))
                 .sorted()
                 .toList();
     }
--- a/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/SchedulerRecoveryTest.java
@@ -213,6 +213,39 @@
             assertThat(orders.starts).hasSize(2);
         }
 
+        /**
+         * Guards against a second run of a task that has ended, because the list that does not show
+         * its end was cut (TWICE).
+         */
+        @Test
+        void areUnknownUntilTheListOfEndsIsWhole() {
+            add(Samples.job(1, Samples.step(2, 1)));
+            scheduler.registerWorker(Samples.worker(1), now);
+            FinishedRun first = new FinishedRun(1, Samples.task(1, 0, 0), 7, RunEnd.DONE, "");
+            FinishedRun second = new FinishedRun(2, Samples.task(1, 0, 1), 7, RunEnd.DONE, "");
+
+            reportEnds(List.of(first), false);
+            assertThat(scheduler.hasReported(Samples.workerId(1))).isTrue();
+            assertThat(scheduler.hasListedRuns(Samples.workerId(1))).isFalse();
+            assertThat(scheduler.allRunsListed()).isFalse();
+
+            reportEnds(List.of(second), true);
+            assertThat(scheduler.allRunsListed()).isTrue();
+        }
+
+        /** Guards against a takeover that waits for ends of runs that this owner has started. */
+        @Test
+        void stayKnownWhenALaterListIsCut() {
+            addWorker(1);
+            reportEnds(List.of(), false);
+            assertThat(scheduler.allRunsListed()).isTrue();
+        }
+
+        private void reportEnds(List<FinishedRun> ends, boolean all) {
+            WorkerReport report = new WorkerReport(now, 1, List.of(), ends, all);
+            scheduler.handleReport(Samples.workerId(1), report, ends, now, now);
+        }
+
         /** Guards against a run of an earlier owner that continues after its task is done. */
         @Test
         void stopRunsOfTasksThatAreDone() {
@@ -236,13 +269,13 @@
             scheduler.registerWorker(Samples.worker(1), now);
             addWorker(2);
             scheduler.setUnresponsive(Samples.workerId(1), true, now);
-            assertThat(scheduler.allWorkersReported()).isFalse();
+            assertThat(scheduler.allRunsListed()).isFalse();
 
             now += EndedWorkers.MAX_LIST_LAG_MILLIS + 1;
             assertThat(scheduler.updateInstances(List.of(), now, now))
                     .containsExactly(Samples.workerId(1));
 
-            assertThat(scheduler.allWorkersReported()).isTrue();
+            assertThat(scheduler.allRunsListed()).isTrue();
         }
 
         /**
--- a/core/src/test/java/org/quetzalscale/core/schedule/WorkersAtTakeoverTest.java
+++ b/core/src/test/java/org/quetzalscale/core/schedule/WorkersAtTakeoverTest.java
@@ -22,8 +22,8 @@
                 new InstanceId("m-" + number), Samples.POOL, state, "", Optional.of(worker));
     }
 
-    private List<WorkerId> unreported() {
-        return workers.unreported(worker -> false);
+    private List<WorkerId> unlisted() {
+        return workers.unlisted(worker -> false);
     }
 
     /** Guards against a second run of a task on a worker whose entry is missing (TWICE). */
@@ -33,8 +33,8 @@
         workers.update(List.of(instance(1, InstanceState.UP, FIRST)));
 
         assertThat(workers.areKnown()).isTrue();
-        assertThat(unreported()).containsExactly(FIRST);
-        assertThat(workers.unreported(FIRST::equals)).isEmpty();
+        assertThat(unlisted()).containsExactly(FIRST);
+        assertThat(workers.unlisted(FIRST::equals)).isEmpty();
     }
 
     /** Guards against a takeover that waits for as long as instances move between pools. */
@@ -49,7 +49,7 @@
                         instance(1, InstanceState.UP, FIRST),
                         instance(2, InstanceState.UP, SECOND)));
 
-        assertThat(unreported()).containsExactly(FIRST);
+        assertThat(unlisted()).containsExactly(FIRST);
     }
 
     /** Guards against a takeover that waits for a worker that has ended with its instance. */
@@ -58,6 +58,6 @@
         workers.update(List.of(instance(1, InstanceState.UP, FIRST)));
         workers.update(List.of(instance(1, InstanceState.DOWN, FIRST)));
 
-        assertThat(unreported()).isEmpty();
+        assertThat(unlisted()).isEmpty();
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/InstanceController.java
@@ -118,22 +118,23 @@
     }
 
     /**
-     * Whether every worker that ran on a listed instance when the term began has reported to this
-     * owner. A worker's entry can be missing while the worker still runs tasks of an earlier owner.
+     * Whether every worker that ran on a listed instance when the term began has listed its runs to
+     * this owner. A worker's entry can be missing while the worker still runs tasks of an earlier
+     * owner.
      */
-    boolean allWorkersReported() {
-        return workersAtTakeover.areKnown() && unreportedWorkers().isEmpty();
+    boolean allRunsListed() {
+        return workersAtTakeover.areKnown() && unlistedWorkers().isEmpty();
     }
 
     /** The workers for which recovered jobs wait, for the log. */
-    String describeUnreported() {
+    String describeUnlisted() {
         return workersAtTakeover.areKnown()
-                ? unreportedWorkers().toString()
+                ? unlistedWorkers().toString()
                 : "list of instances unknown";
     }
 
-    private List<WorkerId> unreportedWorkers() {
-        return workersAtTakeover.unreported(term.scheduler()::hasReported);
+    private List<WorkerId> unlistedWorkers() {
+        return workersAtTakeover.unlisted(term.scheduler()::hasListedRuns);
     }
 
     /** Adds the waves with the time left until their deadlines, and the pending moves. */
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/OwnerTerm.java
@@ -455,7 +455,7 @@
                     "event=recovered_jobs_released reason={} ms={} unreported=\"{}\"",
                     verdict.name().toLowerCase(Locale.ROOT),
                     nowMillis - startMillis,
-                    instanceController.describeUnreported());
+                    instanceController.describeUnlisted());
         }
     }
 
@@ -465,8 +465,8 @@
                         && sessions.values().stream().allMatch(s -> s.formerRunsKnown(nowMillis));
         return new FormerRuns(
                 workers.allCalled(),
-                scheduler.allWorkersReported(),
-                instanceController.allWorkersReported(),
+                scheduler.allRunsListed(),
+                instanceController.allRunsListed(),
                 leasesExpired);
     }
 }
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/WorkerSession.java
@@ -88,6 +88,12 @@
 
     private boolean reportApplied;
 
+    /** Whether an applied report had all ends that were not acknowledged. */
+    private boolean endsListed;
+
+    /** Whether the latest report left out ends, which follow once those are acknowledged. */
+    private boolean listCut;
+
     /** Whether the latest report could not be applied. */
     private boolean reportIgnored;
 
@@ -129,7 +135,7 @@
 
     /** Whether every run that an earlier owner started on the worker is known or has ended. */
     boolean formerRunsKnown(long nowMillis) {
-        return reportApplied || closed || lease.isOver(nowMillis);
+        return endsListed || closed || lease.isOver(nowMillis);
     }
 
     void updateEntry(WorkerEntry newer) {
@@ -293,6 +299,7 @@
                 term.jobsLoaded()
                         && lease.isClockKnown()
                         && !mayHaveRestarted
+                        && !listCut
                         && lastRecordedNumber == lastSeenNumber;
         int waitMillis = longPoll ? LONG_POLL_MILLIS : 0;
         long token = fence.current();
@@ -385,12 +392,12 @@
         term.scheduler().handleReport(entry.id(), report, newlyFinished, sentMillis, now);
         reportApplied = true;
         reportIgnored = false;
+        endsListed |= report.allFinished();
         term.planSoon();
+        listCut = !report.allFinished();
         if (first || newlyFinished.isEmpty()) {
-            scheduleRenewal(
-                    newlyFinished.isEmpty() && !first && lastRecordedNumber < lastSeenNumber
-                            ? RETRY_DELAY_MILLIS
-                            : 0);
+            boolean listedAgain = lastRecordedNumber < lastSeenNumber || listCut;
+            scheduleRenewal(listedAgain && !first ? RETRY_DELAY_MILLIS : 0);
             return;
         }
         // Waits until the finished runs are recorded, but not for long: renewals continue while
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/WorkerSessionTest.java
@@ -82,6 +82,7 @@
         final List<Long> acknowledged = new ArrayList<>();
 
         final List<Long> leases = new ArrayList<>();
+        final List<Integer> waits = new ArrayList<>();
 
         @Override
         public CompletionStage<OrderAnswer> start(
@@ -115,6 +116,7 @@
             leases.add(leaseClockMillis);
             renewalFences.add(fence);
             acknowledged.add(number);
+            waits.add(waitMillis);
             return reply;
         }
     }
@@ -215,6 +217,30 @@
         assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L);
     }
 
+    /**
+     * Guards against former runs that are taken for known while a list of ends is cut (TWICE), and
+     * against a rest that is read slowly, or never.
+     */
+    @Test
+    void readsACutListToItsEndAsSoonAsItsPartsAreRecorded() {
+        session.call(() -> {});
+        calls.renewals.get(0).complete(cutReport());
+        calls.renewals.get(1).complete(cutReport(end(1)));
+        session.recordedUpTo(session.seenCursor());
+        calls.renewals.get(2).complete(cutReport(end(2)));
+        assertThat(session.formerRunsKnown(NEVER - 1)).isFalse();
+        session.recordedUpTo(session.seenCursor());
+        calls.renewals.get(3).complete(report(end(3)));
+
+        assertThat(session.formerRunsKnown(NEVER - 1)).isTrue();
+        assertThat(calls.acknowledged).containsExactly(0L, 0L, 1L, 2L);
+        assertThat(calls.waits).containsExactly(0, 0, 0, 0);
+    }
+
+    private static WorkerReport cutReport(FinishedRun... finished) {
+        return new WorkerReport(50, 1, List.of(), List.of(finished), false);
+    }
+
     /**
      * Guards against a finished run that is acknowledged before it was seen (TWICE): a worker that
      * did not respond may have restarted, and then numbers its finished runs from 1 again.
