Split the rows of a divided record in two steps, and reuse an unchanged queue policy

No change of behaviour: ProgressRows.splitChanges had two jobs, and FleetPolicy.queueOf made a record for each waiting job of each plan, also where the queue has not changed.

--- a/core/src/main/java/org/quetzalscale/core/schedule/FleetPolicy.java
+++ b/core/src/main/java/org/quetzalscale/core/schedule/FleetPolicy.java
@@ -61,6 +61,9 @@
             return known == null ? undeclared(job) : known;
         }
         JobTerms terms = job.terms().get();
+        if (known != null && known.maxAttempts() == terms.maxAttempts()) {
+            return known;
+        }
         return new QueuePolicy(
                 job.queue(),
                 job.pool(),
--- a/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRows.java
+++ b/daemon/src/main/java/org/quetzalscale/daemon/fleet/ProgressRows.java
@@ -17,9 +17,9 @@
 
 /**
  * The rows that hold the progress of jobs. A job has one row; if that would exceed the size of a
- * row, its steps move to rows of {@link #TASKS_PER_ROW} tasks each. A task keeps its row, so that a
- * row without its newest write never lacks what another one had, and a job of thousands of tasks is
- * not written again for the end of each.
+ * row, its steps move to rows of {@link #TASKS_PER_ROW} tasks each. A task stays in its row from
+ * then on: rows that are written one after the other never leave it out of all of them, and the end
+ * of a task changes one row of a job of thousands.
  */
 final class ProgressRows {
     /** Few enough for a row with a long checkpoint and many failed runs of each task. */
@@ -91,16 +91,7 @@
     }
 
     private List<Mutation> splitChanges(JobProgress progress, RowKey main) {
-        Map<RowKey, String> texts = new LinkedHashMap<>();
-        for (StepProgress step : progress.steps()) {
-            ranges(step)
-                    .forEach(
-                            (range, part) ->
-                                    texts.put(
-                                            FleetRows.progressOfTasks(
-                                                    main, step.occurrence(), step.step(), range),
-                                            encodeRange(progress, part)));
-        }
+        Map<RowKey, String> texts = rangeTexts(progress, main);
         texts.put(main, JobRowCodecs.encodeWithoutSteps(progress));
         Map<RowKey, String> before = written.put(main, texts);
         List<Mutation> changes = new ArrayList<>();
@@ -110,15 +101,29 @@
                         changes.add(Mutation.put(key, text));
                     }
                 });
-        for (RowKey key : before.keySet()) {
-            if (!texts.containsKey(key)) {
-                changes.add(Mutation.delete(key));
-            }
-        }
+        before.keySet().stream()
+                .filter(key -> !texts.containsKey(key))
+                .forEach(key -> changes.add(Mutation.delete(key)));
         return changes;
     }
 
-    private String encodeRange(JobProgress progress, StepProgress range) {
+    /** The rows of ranges of tasks, in the order of their tasks. */
+    private static Map<RowKey, String> rangeTexts(JobProgress progress, RowKey main) {
+        Map<RowKey, String> texts = new LinkedHashMap<>();
+        for (StepProgress step : progress.steps()) {
+            ranges(step)
+                    .forEach(
+                            (range, part) -> {
+                                RowKey key =
+                                        FleetRows.progressOfTasks(
+                                                main, step.occurrence(), step.step(), range);
+                                texts.put(key, encodeRange(progress, part));
+                            });
+        }
+        return texts;
+    }
+
+    private static String encodeRange(JobProgress progress, StepProgress range) {
         return JobRowCodecs.PROGRESS.encode(
                 new JobProgress(progress.job(), progress.phase(), List.of(range)));
     }
