Simulate workers that list few of their ends at a time

FleetSimulation's workers listed all ends, so no run could show what a new owner makes of a part of them.

--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -38,6 +38,7 @@
     private static final int JOBS = 12;
     private static final int JOBS_WITH_LOST_RENEWALS = 70;
     private static final int FAULT_COUNT = 8;
+    private static final int MAX_LISTED_ENDS = 2;
     private static final long UNLISTED_INTERVAL_MILLIS = 4_000;
     private static final int MIN_UNLISTED_MILLIS = 1_000;
     private static final int UNLISTED_SPREAD_MILLIS = 7_000;
@@ -409,6 +410,9 @@
     private SimulatedWorker addWorker(String name) {
         SimulatedWorker worker =
                 new SimulatedWorker(name, CAPACITY, FAILURE_PROBABILITY, loop, random, history);
+        if (injected == SimulationFaults.CUT_LISTS) {
+            worker.maxListedEnds = MAX_LISTED_ENDS;
+        }
         if (injected == SimulationFaults.CRASHING_TASK) {
             worker.crashes = new TaskRef(new JobId(String.format("%016x", 1)), 0, 0, 0)::equals;
             worker.onCrashByTask = () -> restartLater(worker, WORKER_RESTART_MILLIS);
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulationTest.java
@@ -217,6 +217,16 @@
         runTasksOnce(SimulationVariant.PLAIN, SimulationFaults.JOINING_INSTANCE, seed);
     }
 
+    /**
+     * Guards against tasks that run again although they are done (TWICE): a new owner takes the
+     * part of the ends that a worker lists for all of them.
+     */
+    @Property(tries = 100, seed = "7205513355", shrinking = ShrinkingMode.OFF)
+    void runsTasksOnceWhileListsOfEndsAreCut(
+            @ForAll SimulationVariant variant, @ForAll @LongRange(min = 1) long seed) {
+        run(variant, SimulationFaults.CUT_LISTS, seed);
+    }
+
     /**
      * Checks only that no task runs twice: workers that crash again and again fail jobs, which is
      * no fault.
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedWorker.java
@@ -47,6 +47,9 @@
     /** Whether it answers all calls with an error, and carries none out. */
     boolean unhealthy;
 
+    /** How many finished runs it lists at a time. */
+    int maxListedEnds = Integer.MAX_VALUE;
+
     /** Tasks that crash the worker shortly after their start. */
     Predicate<TaskRef> crashes = task -> false;
 
@@ -193,7 +196,13 @@
     WorkerReport report() {
         List<RunningTask> tasks = new ArrayList<>();
         running.forEach((task, run) -> tasks.add(new RunningTask(task, run, "", percent(task), 0)));
-        return new WorkerReport(clockMillis(), incarnationStartMillis, tasks, finished);
+        int listed = Math.min(maxListedEnds, finished.size());
+        return new WorkerReport(
+                clockMillis(),
+                incarnationStartMillis,
+                tasks,
+                finished.subList(0, listed),
+                listed < maxListedEnds);
     }
 
     private void acceptFence(long token) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulationFaults.java
@@ -18,6 +18,8 @@
      * return after some seconds.
      */
     CRASHING_TASK,
+    /** Those of {@link #DRAWN}, and workers list few of their ends at a time. */
+    CUT_LISTS,
     /** Those of {@link #DRAWN}, and a new owner reads the jobs for seconds. */
     SLOW_LOADS,
     /**
