--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/FleetSimulation.java
@@ -85,7 +85,7 @@
     }
 
     /** An instance, which runs one process at a time. */
-    private final class Node {
+    private final class Node implements SimulatedNetworkFaults.Instance {
         final String name;
         SimulatedProcess process;
         JobGateway gateway;
@@ -123,11 +123,18 @@
             return process.isAlive() && owner.isOwner();
         }
 
-        /**
-         * Kills the process, and starts the next one later. Does nothing without a live process,
-         * since an instance never runs two processes at once.
-         */
-        void kill(long downMillis) {
+        @Override
+        public String name() {
+            return name;
+        }
+
+        @Override
+        public SimulatedProcess process() {
+            return process;
+        }
+
+        @Override
+        public void kill(long downMillis) {
             if (!process.isAlive()) {
                 return;
             }
@@ -197,22 +204,22 @@
                     QUICK_RESTARTS,
                     LATE_LISTS,
                     JOINING_INSTANCE ->
-                    networkFaults().begin(injected);
+                    new SimulatedNetworkFaults(faultParts(), this).begin(injected);
             default -> {
                 store.jobReadMillis =
                         injected == SimulationFaults.SLOW_LOADS ? SLOW_LOAD_MILLIS : 0;
+                SimulatedDrawnFaults drawn =
+                        new SimulatedDrawnFaults(faultParts(), this, evacuations);
                 for (int i = 0; i < FAULT_COUNT; i++) {
-                    loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), this::injectFault);
+                    loop.after(500 + random.nextInt((int) FAULT_PERIOD_MILLIS), drawn::inject);
                 }
             }
         }
     }
 
-    private SimulatedNetworkFaults networkFaults() {
-        return new SimulatedNetworkFaults(
-                new SimulatedNetworkFaults.Parts(
-                        loop, random, store, network, instances, callFaults, faults),
-                this);
+    private SimulatedNetworkFaults.Parts faultParts() {
+        return new SimulatedNetworkFaults.Parts(
+                loop, random, store, network, instances, callFaults, faults);
     }
 
     /** How often an instance took the fleet's lease. */
@@ -283,6 +290,11 @@
         return nodes.stream().filter(Node::ownsFleet).map(node -> node.process).toList();
     }
 
+    @Override
+    public List<SimulatedNetworkFaults.Instance> instances() {
+        return List.copyOf(nodes);
+    }
+
     @Override
     public List<SimulatedProcess> processes() {
         return nodes.stream().map(node -> node.process).filter(SimulatedProcess::isAlive).toList();
@@ -332,62 +344,11 @@
                 });
     }
 
-    private void injectFault() {
-        Node node = nodes.get(random.nextInt(nodes.size()));
-        long millis = 500 + random.nextInt(4_000);
-        int kind = random.nextInt(10);
-        if (kind >= 3 && kind <= 6) {
-            evacuations.disturbStore(millis);
-        }
-        faults.add(loop.nowMillis() + ": kind " + kind + " on " + node.name + " for " + millis);
-        switch (kind) {
-            case 0 -> node.kill(millis);
-            case 1 -> nodes.forEach(each -> each.kill(millis));
-            case 2 -> node.process.freeze(millis);
-            case 3 ->
-                    applyFor(
-                            millis,
-                            () -> store.unavailable = true,
-                            () -> store.unavailable = false);
-            case 4 -> restrictStore(node, SimulatedProcess.StoreAccess.REFUSED, millis);
-            case 5 -> restrictStore(node, SimulatedProcess.StoreAccess.NOT_ANSWERED, millis);
-            case 6 ->
-                    applyFor(
-                            millis,
-                            () -> store.lostAnswerProbability = 0.3,
-                            () -> store.lostAnswerProbability = 0);
-            case 7 -> store.dropHistory();
-            case 8 ->
-                    applyFor(
-                            millis,
-                            () -> callFaults.delayProbability = 0.3,
-                            () -> callFaults.delayProbability = 0);
-            default -> crashWorker(presentWorker(), millis);
-        }
-    }
-
     private void applyFor(long millis, Runnable begin, Runnable end) {
         begin.run();
         loop.after(millis, end);
     }
 
-    private void restrictStore(Node node, SimulatedProcess.StoreAccess access, long millis) {
-        SimulatedProcess process = node.process;
-        boolean all = random.nextBoolean();
-        applyFor(
-                millis,
-                () -> {
-                    process.store = access;
-                    process.cutFromWorkers = all;
-                    process.cutFromSiblings = all;
-                },
-                () -> {
-                    process.store = SimulatedProcess.StoreAccess.SERVED;
-                    process.cutFromWorkers = false;
-                    process.cutFromSiblings = false;
-                });
-    }
-
     @Override
     public void crashWorker(SimulatedWorker worker, long downMillis) {
         if (!worker.up) {
--- a/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetworkFaults.java
+++ b/daemon/src/test/java/org/quetzalscale/daemon/fleet/SimulatedNetworkFaults.java
@@ -55,8 +55,24 @@
             SimulatedCalls.CallFaults callFaults,
             List<String> log) {}
 
+    /** An instance, which runs one process at a time. */
+    interface Instance {
+        String name();
+
+        /** The process that runs, or ran last. */
+        SimulatedProcess process();
+
+        /**
+         * Kills the process, and starts the next one later. Does nothing without a live process.
+         */
+        void kill(long downMillis);
+    }
+
     /** The fleet that the faults are injected into. */
     interface Fleet {
+        /** All instances. */
+        List<Instance> instances();
+
         /** A worker on an instance, drawn. */
         SimulatedWorker presentWorker();
 
