--- a/review/standin-3/Case11.java
+++ b/review/standin-3/Case11.java
@@ -1,16 +1,22 @@
 package org.quetzalscale.standin.soak;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.quetzalscale.net.http.HttpCall;
+import org.quetzalscale.net.http.HttpReply;
 
-/** An accepted job whose worker crashes three times, and is shown as failed. */
+/**
+ * A start that got no answer is carried out late, by the next life of its worker, while the task
+ * runs elsewhere.
+ */
 final class Case11 {
-    private static final String PATH = "/quick/11aa22bb33cc44dd";
-    private static final String TASK = "11aa22bb33cc44dd.0.0.0";
-    private static final int CRASHES = 3;
-    private static final int RUN_MILLIS = 2_000;
-    private static final int DOWN_MILLIS = 2_000;
-    private static final int MAX_ATTEMPTS = 3;
+    private static final String PATH = "/quick/11aa00000000000a";
+    private static final String TASK = "11aa00000000000a.0.0.0";
+    private static final String OTHER = "11bb00000000000a";
+    private static final String OTHER_PATH = "/quick/" + OTHER;
+    private static final int DOWN_MILLIS = 1_000;
 
     private Case11() {}
 
@@ -18,53 +24,80 @@
         CaseBench.run(args, Case11::play);
     }
 
-    private static boolean play(CaseBench bench, boolean trouble) throws java.io.IOException {
-        bench.start(3, 27, DeploymentConfig.pools());
-        bench.submit(PATH, CaseBench.body(1, 2_000, 9_000, ""));
-        for (int i = 0; i < CRASHES; i++) {
-            Optional<Run> run = Optional.empty();
-            run =
-                    Optional.of(
-                            bench.awaitValue(
-                                    "the task runs",
-                                    12,
-                                    () -> bench.running(r -> r.task().equals(TASK))));
-            CaseBench.sleep(RUN_MILLIS);
-            if (trouble) {
-                crash(bench, run.get());
+    /** Stands before the workers, and keeps the first start for the next life of its worker. */
+    private static final class LateStart {
+        private final CaseBench bench;
+        private Machine machine;
+        private String caller;
+        private HttpCall start;
+        private boolean armed;
+
+        LateStart(CaseBench bench) {
+            this.bench = bench;
+        }
+
+        synchronized CompletionStage<HttpReply> handle(Machine called, String from, HttpCall call) {
+            if (!armed || !call.path().equals("/v1/run-start")) {
+                return called.handle(from, call);
             }
+            armed = false;
+            machine = called;
+            caller = from;
+            start = call;
+            bench.record.add("trouble: a start for %s gets no answer", called.name());
+            return CompletableFuture.completedFuture(WireServer.SILENCE);
         }
-        String state = "";
-        double limit = bench.record.seconds() + 30;
-        while (bench.record.seconds() < limit && !isFinal(state)) {
-            CaseBench.sleep(1_000);
-            state = bench.state(bench.nodes.all().get(0), PATH);
+
+        synchronized void arm() {
+            armed = true;
         }
-        long failed =
-                bench.runs.runs().stream()
-                        .filter(r -> r.task().equals(TASK) && r.how().equals("failed"))
-                        .count();
-        bench.record.add(
-                "the job is shown as %s; %d of its runs have ended failed, %d are permitted",
-                state, failed, MAX_ATTEMPTS);
-        if (!isFinal(state)) {
-            throw new CaseBench.CannotRunException("the job has not ended");
+
+        synchronized Machine machine() {
+            return machine;
         }
-        return !(state.equals("failed") && failed < MAX_ATTEMPTS);
-    }
 
-    private static boolean isFinal(String state) {
-        return List.of("completed", "failed", "cancelled").contains(state);
+        /** The worker starts again, and carries the start out. */
+        synchronized void restart(String id) {
+            bench.workers.restart(machine, id);
+            WorkerLife life = machine.life().orElseThrow();
+            life.carryOut(Order.of(caller, start, true));
+        }
     }
 
-    /** The worker crashes, and starts again under its id. */
-    private static void crash(CaseBench bench, Run run) {
-        Machine machine = bench.machineOf(run);
-        String id = machine.life().orElseThrow().id();
-        bench.record.add("trouble: worker %s crashes", id);
-        bench.workers.crash(machine);
-        machine.listDownIfEnded();
-        CaseBench.sleep(DOWN_MILLIS);
-        bench.workers.restart(machine, id);
+    private static boolean play(CaseBench bench, boolean trouble) throws java.io.IOException {
+        bench.startWorkers(27, DeploymentConfig.pools());
+        LateStart late = new LateStart(bench);
+        for (Machine machine : bench.workers.machines()) {
+            bench.putBefore(machine, (caller, call) -> late.handle(machine, caller, call));
+        }
+        bench.startNodes(3, config -> {});
+        // Another task is on the worker that would be chosen first, and ends before the crash.
+        bench.submit(OTHER_PATH, CaseBench.body(1, 20_000, 2_500, ""));
+        bench.awaitValue("the other task runs", 10, () -> bench.running(r -> r.job().equals(OTHER)));
+        if (trouble) {
+            late.arm();
+        }
+        bench.submit(PATH, CaseBench.body(1, 2_000, 10_000, ""));
+        bench.awaitValue("the task runs", 10, () -> bench.running(r -> r.task().equals(TASK)));
+        bench.await(
+                "the other task has ended",
+                15,
+                () -> bench.running(r -> r.job().equals(OTHER)).isEmpty());
+        CaseBench.sleep(1_500);
+        if (trouble) {
+            String id = late.machine().life().orElseThrow().id();
+            bench.record.add("trouble: worker %s crashes", id);
+            bench.workers.crash(late.machine());
+            late.machine().listDownIfEnded();
+            CaseBench.sleep(DOWN_MILLIS);
+            late.restart(id);
+        }
+        CaseBench.sleep(6_000);
+        List<String> overlaps = new ArrayList<>();
+        for (Violation found : TwiceCheck.check(bench.runs.runs()).violations()) {
+            overlaps.add(found.toString());
+            bench.record.add("%s", found);
+        }
+        return overlaps.isEmpty();
     }
 }
