--- a/review/standin-3/Case12.java
+++ b/review/standin-3/Case12.java
@@ -1,21 +1,16 @@
 package org.quetzalscale.standin.soak;
 
-import java.util.Set;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 
-/**
- * An upkeep that a former owner ordered is carried out late, beside one that the new owner has
- * ordered.
- */
+/** An accepted job whose worker crashes three times, and is shown as failed. */
 final class Case12 {
-    private static final String FIRST = "m-2";
-    private static final String SECOND = "m-6";
-
-    /** The rack of the first machine, which has no other worker. */
-    private static final String LABEL = "r2-1";
-
-    private static final String JOB = "/plot/12aa00000000000a";
-    private static final int LATE_MILLIS = 4_800;
-    private static final int CAP = 1;
+    private static final String PATH = "/quick/12aa22bb33cc44dd";
+    private static final String TASK = "12aa22bb33cc44dd.0.0.0";
+    private static final int CRASHES = 3;
+    private static final int RUN_MILLIS = 2_000;
+    private static final int DOWN_MILLIS = 2_000;
+    private static final int MAX_ATTEMPTS = 5;
 
     private Case12() {}
 
@@ -24,45 +19,53 @@
     }
 
     private static boolean play(CaseBench bench, boolean trouble) throws java.io.IOException {
-        UpkeepCloud cloud = new UpkeepCloud(bench, Set.of(FIRST, SECOND), CAP);
-        bench.cloud = cloud;
         bench.startWorkers(27, DeploymentConfig.pools());
-        bench.startNodes(3, config -> {});
-        CaseBench.sleep(3_000);
-        if (trouble) {
-            cloud.carryOutNextLate(LATE_MILLIS);
+        bench.startNodes(3, Case12::setAttempts);
+        bench.submit(PATH, CaseBench.body(1, 2_000, 9_000, ""));
+        for (int i = 0; i < CRASHES; i++) {
+            Run run =
+                    bench.awaitValue(
+                            "the task runs", 12, () -> bench.running(r -> r.task().equals(TASK)));
+            CaseBench.sleep(RUN_MILLIS);
+            if (trouble) {
+                crash(bench, run);
+            }
+        }
+        String state = "";
+        double limit = bench.record.seconds() + 30;
+        while (bench.record.seconds() < limit && !isFinal(state)) {
+            CaseBench.sleep(1_000);
+            state = bench.state(bench.nodes.all().get(0), PATH);
         }
-        bench.rows.put(
-                "op",
-                "wave/1",
-                "{\"wave\":1,\"machines\":[\"" + FIRST + "\",\"" + SECOND
-                        + "\"],\"durationS\":25,\"cap\":" + CAP + "}");
-        bench.record.add("operator: wave 1 of %s and %s, cap %d", FIRST, SECOND, CAP);
-        if (trouble) {
-            String owner = bench.awaitValue(
-                    "an upkeep is ordered",
-                    10,
-                    () -> java.util.Optional.of(cloud.lateCaller()).filter(n -> !n.isEmpty()));
-            NodeProcess node =
-                    bench.nodes.all().stream()
-                            .filter(n -> n.name().equals(owner))
-                            .findFirst()
-                            .orElseThrow();
-            bench.record.add("trouble: %s gets SIGTERM", owner);
-            node.terminate(500);
+        long failed =
+                bench.runs.runs().stream()
+                        .filter(r -> r.task().equals(TASK) && r.how().equals("failed"))
+                        .count();
+        bench.record.add(
+                "the job is shown as %s; %d of its runs have ended failed, %d are permitted",
+                state, failed, MAX_ATTEMPTS);
+        if (!isFinal(state)) {
+            throw new CaseBench.CannotRunException("the job has not ended");
         }
-        NodeProcess other =
-                bench.nodes.all().stream()
-                        .filter(n -> !n.name().equals(cloud.lateCaller()))
-                        .findFirst()
-                        .orElseThrow();
-        CaseBench.sleep(200);
-        bench.call(
-                io.netty.handler.codec.http.HttpMethod.POST,
-                other,
-                JOB,
-                CaseBench.body(1, 8_000, 8_000, LABEL));
-        bench.await("both machines have had their upkeep", 40, cloud::isDone);
-        return !cloud.hasExceededCap();
+        return !(state.equals("failed") && failed < MAX_ATTEMPTS);
+    }
+
+    private static void setAttempts(ObjectNode config) {
+        config.path("routes").forEach(r -> ((ObjectNode) r).put("maxAttempts", MAX_ATTEMPTS));
+    }
+
+    private static boolean isFinal(String state) {
+        return List.of("completed", "failed", "cancelled").contains(state);
+    }
+
+    /** The worker crashes, and starts again under its id. */
+    private static void crash(CaseBench bench, Run run) {
+        Machine machine = bench.machineOf(run);
+        String id = machine.life().orElseThrow().id();
+        bench.record.add("trouble: worker %s crashes", id);
+        bench.workers.crash(machine);
+        machine.listDownIfEnded();
+        CaseBench.sleep(DOWN_MILLIS);
+        bench.workers.restart(machine, id);
     }
 }
