--- a/review/standin-3/Case13.java
+++ b/review/standin-3/Case13.java
@@ -1,29 +1,21 @@
 package org.quetzalscale.standin.soak;
 
-import io.netty.handler.codec.http.HttpMethod;
-import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicBoolean;
-import org.quetzalscale.net.http.HttpCall;
-import org.quetzalscale.net.http.HttpReply;
-import org.quetzalscale.net.json.Json;
+import java.util.Set;
 
-/** Jobs whose starts a worker has rejected wait, and the count of the waiting jobs leaves them out. */
+/**
+ * An upkeep that a former owner ordered is carried out late, beside one that the new owner has
+ * ordered.
+ */
 final class Case13 {
-    private static final String QUEUE = "/plot/";
-    private static final List<String> JOBS =
-            List.of("13aa00000000000a", "13aa00000000000b", "13aa00000000000c", "13aa00000000000d");
-    private static final String URGENT = "/urgent/13bb00000000000a";
+    private static final String FIRST = "m-2";
+    private static final String SECOND = "m-6";
 
-    /** The label of the only worker that can run the jobs: its rack. */
+    /** The rack of the first machine, which has no other worker. */
     private static final String LABEL = "r2-1";
 
-    private static final int UNHEALTHY_MILLIS = 3_000;
-
-    /** visible_ms and 2 s. */
-    private static final double VISIBLE_SECONDS = 5;
+    private static final String JOB = "/plot/13aa00000000000a";
+    private static final int LATE_MILLIS = 4_800;
+    private static final int CAP = 1;
 
     private Case13() {}
 
@@ -32,69 +24,45 @@
     }
 
     private static boolean play(CaseBench bench, boolean trouble) throws java.io.IOException {
+        UpkeepCloud cloud = new UpkeepCloud(bench, Set.of(FIRST, SECOND), CAP);
+        bench.cloud = cloud;
         bench.startWorkers(27, DeploymentConfig.pools());
-        Machine machine = bench.workers.machines().get(1);
-        AtomicBoolean unhealthy = new AtomicBoolean();
-        bench.putBefore(machine, (caller, call) -> handle(bench, machine, unhealthy, caller, call));
-        bench.startNodes(3, config -> bench.addQueue(config, "urgent", "plot", 0));
+        bench.startNodes(3, config -> {});
+        CaseBench.sleep(3_000);
         if (trouble) {
-            bench.record.add("trouble: the worker of %s is unhealthy", machine.name());
-            unhealthy.set(true);
-        }
-        for (String job : JOBS) {
-            bench.submit(QUEUE + job, CaseBench.body(1, 4_000, 4_000, LABEL));
-        }
-        double accepted = bench.record.seconds();
-        CaseBench.sleep(1_500);
-        bench.submit(URGENT, CaseBench.body(1, 30_000, 25_000, LABEL));
-        CaseBench.sleep(UNHEALTHY_MILLIS - 1_500);
-        unhealthy.set(false);
-        bench.record.add("the worker is healthy");
-        // contactMs of calm, and the time until which the jobs have to be counted.
-        CaseBench.sleep(4_500);
-        boolean held = true;
-        for (int i = 0; i < 3; i++) {
-            for (NodeProcess node : bench.nodes.all()) {
-                held &= isCounted(bench, node, accepted);
-            }
-            CaseBench.sleep(1_000);
-        }
-        return held;
-    }
-
-    private static CompletionStage<HttpReply> handle(
-            CaseBench bench, Machine machine, AtomicBoolean unhealthy, String caller, HttpCall call) {
-        if (unhealthy.get() && call.path().equals("/v1/run-start")) {
-            bench.record.add(
-                    "%s: rejects the start of %s with 503",
-                    machine.name(), Json.readTree(call.body()).path("task").asText());
-            return CompletableFuture.completedFuture(
-                    HttpReply.json(503, machine.life().orElseThrow().answer()));
+            cloud.carryOutNextLate(LATE_MILLIS);
         }
-        return machine.handle(caller, call);
-    }
-
-    /** Compares the count that a node gives with the jobs that have not begun. */
-    private static boolean isCounted(CaseBench bench, NodeProcess node, double accepted) {
-        double asked = bench.record.seconds();
-        long waiting =
-                JOBS.stream()
-                        .filter(
-                                job ->
-                                        bench.runs.runs().stream()
-                                                .noneMatch(run -> run.job().equals(job)))
-                        .count();
-        Optional<HttpReply> reply = bench.call(HttpMethod.GET, node, QUEUE, "");
-        if (reply.isEmpty() || reply.get().status() != 200) {
-            throw new CaseBench.CannotRunException("no count");
-        }
-        int given = Json.readTree(reply.get().body()).path("waiting").asInt();
-        bench.record.add(
-                "%s gives %d as waiting; %d jobs that were accepted %.1f s ago have not begun",
-                node.name(), given, waiting, asked - accepted);
-        if (asked - accepted < VISIBLE_SECONDS) {
-            throw new CaseBench.CannotRunException("asked too early");
+        bench.rows.put(
+                "op",
+                "wave/1",
+                "{\"wave\":1,\"machines\":[\"" + FIRST + "\",\"" + SECOND
+                        + "\"],\"durationS\":25,\"cap\":" + CAP + "}");
+        bench.record.add("operator: wave 1 of %s and %s, cap %d", FIRST, SECOND, CAP);
+        if (trouble) {
+            String owner = bench.awaitValue(
+                    "an upkeep is ordered",
+                    10,
+                    () -> java.util.Optional.of(cloud.lateCaller()).filter(n -> !n.isEmpty()));
+            NodeProcess node =
+                    bench.nodes.all().stream()
+                            .filter(n -> n.name().equals(owner))
+                            .findFirst()
+                            .orElseThrow();
+            bench.record.add("trouble: %s gets SIGTERM", owner);
+            node.terminate(500);
         }
-        return given * 2 >= waiting;
+        NodeProcess other =
+                bench.nodes.all().stream()
+                        .filter(n -> !n.name().equals(cloud.lateCaller()))
+                        .findFirst()
+                        .orElseThrow();
+        CaseBench.sleep(200);
+        bench.call(
+                io.netty.handler.codec.http.HttpMethod.POST,
+                other,
+                JOB,
+                CaseBench.body(1, 8_000, 8_000, LABEL));
+        bench.await("both machines have had their upkeep", 40, cloud::isDone);
+        return !cloud.hasExceededCap();
     }
 }
