--- a/review/standin-3/CaseBench.java
+++ b/review/standin-3/CaseBench.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.quetzalscale.net.EventLoops;
 import org.quetzalscale.net.http.HttpCall;
 import org.quetzalscale.net.http.HttpReply;
@@ -62,9 +64,6 @@
     private final Thread killer;
     private List<String> hosts = List.of();
 
-    /** Answers the calls to the platform's list of instances. */
-    WireServer.Handler cloud;
-
     CaseBench(Path checkout, Path recordFile) throws IOException {
         this.checkout = checkout.toAbsolutePath();
         this.folder = Files.createTempDirectory("review-3-");
@@ -80,7 +79,6 @@
                                 group, callers, rows, runs, faults, scheduler, record),
                         7);
         this.list = new InstanceList(workers, faults, scheduler, record);
-        this.cloud = list::handle;
         this.store = new MetadataStore(rows, new RelayAddresses(), faults, scheduler, record);
         this.killer = new Thread(nodes::stop, "kill-nodes");
         Runtime.getRuntime().addShutdownHook(killer);
@@ -92,12 +90,6 @@
         }
     }
 
-    /** Starts the deployment, and waits until all nodes are ready and one owns the fleet. */
-    void start(int nodeCount, int workerCount, List<String> pools) throws IOException {
-        startWorkers(workerCount, pools);
-        startNodes(nodeCount, config -> {});
-    }
-
     /** Starts the workers, and the list of their machines. */
     void startWorkers(int count, List<String> pools) {
         callers.start();
@@ -105,7 +97,10 @@
         list.start();
     }
 
-    /** Starts the nodes, with a configuration that the case completes. */
+    /**
+     * Starts the nodes, with a configuration that the case completes, and waits until all of them
+     * are ready and one owns the fleet.
+     */
     void startNodes(int nodeCount, Consumer<ObjectNode> configuration) throws IOException {
         List<NodeProcess> created = new ArrayList<>();
         NodeProcess.Context context =
@@ -114,11 +109,7 @@
         for (int i = 0; i < nodeCount; i++) {
             String name = "node-" + (i + 1);
             WireServer storeServer = new WireServer(group, WireServer.known(name), store::handle);
-            WireServer listServer =
-                    new WireServer(
-                            group,
-                            WireServer.known(name),
-                            (caller, call) -> cloud.handle(caller, call));
+            WireServer listServer = new WireServer(group, WireServer.known(name), list::handle);
             storeServers.put(name, storeServer);
             listServers.add(listServer);
             created.add(
@@ -162,20 +153,6 @@
         }
     }
 
-    /** Leaves only one service in the configuration, with its queue. */
-    static void keepOnly(ObjectNode config, String service) {
-        removeOthers((ArrayNode) config.path("routes"), "service", service);
-        removeOthers((ArrayNode) config.path("services"), "name", service);
-    }
-
-    private static void removeOthers(ArrayNode entries, String field, String kept) {
-        for (int i = entries.size() - 1; i >= 0; i--) {
-            if (!entries.get(i).path(field).asText().equals(kept)) {
-                entries.remove(i);
-            }
-        }
-    }
-
     /** Adds a queue of a service. */
     void addQueue(ObjectNode config, String name, String service, int priority) {
         for (String host : hosts) {
@@ -212,20 +189,6 @@
         }
     }
 
-    /** The body of a job of one step whose tasks last. */
-    static String lastingBody(int count, int cpu) {
-        ObjectNode root = JsonNodeFactory.instance.objectNode();
-        root.put("spec", WorkPlan.text(0, true));
-        root.putArray("steps")
-                .addObject()
-                .put("count", count)
-                .put("cpu", cpu)
-                .put("memMb", 512)
-                .put("estimateMs", 900)
-                .put("longRunning", true);
-        return root.toString();
-    }
-
     /** The body of a job of one step. */
     static String body(int count, int cpu, long millis, String requiredLabel) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
@@ -283,18 +246,6 @@
         throw new CannotRunException("the job is not accepted");
     }
 
-    /** The state that a node shows of a job; "410", another status or "" without an answer. */
-    String state(NodeProcess node, String path) {
-        Optional<HttpReply> reply = call(HttpMethod.GET, node, path, "");
-        if (reply.isEmpty()) {
-            return "";
-        }
-        if (reply.get().status() != 200) {
-            return Integer.toString(reply.get().status());
-        }
-        return Json.readTree(reply.get().body()).path("state").asText();
-    }
-
     /** The newest run that goes on and meets a condition. */
     Optional<Run> running(Predicate<Run> condition) {
         return runs.runs().stream()
@@ -303,15 +254,6 @@
                 .reduce((first, second) -> second);
     }
 
-    /** The machine on which a run goes on. */
-    Machine machineOf(Run run) {
-        String id = run.worker().substring(0, run.worker().indexOf('/'));
-        return workers.machines().stream()
-                .filter(m -> m.life().filter(life -> life.id().equals(id)).isPresent())
-                .findFirst()
-                .orElseThrow(() -> new CannotRunException("no machine runs " + id));
-    }
-
     <T> T awaitValue(String what, int seconds, Supplier<Optional<T>> value) {
         double limit = record.seconds() + seconds;
         while (record.seconds() < limit) {
@@ -355,6 +297,15 @@
         ports.stop();
         group.shutdownGracefully();
         record.stop();
+        deleteFolder();
+    }
+
+    private void deleteFolder() {
+        try (Stream<Path> paths = Files.walk(folder)) {
+            paths.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        } catch (IOException e) {
+            System.err.println("the folder " + folder + " remains: " + e);
+        }
     }
 
     /** Plays a case; its result is the exit code. */
